--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -442,6 +442,7 @@
 				}
 			}
 			if err == nil {
+				syscall.CloseOnExec(nb.Hash()) // see ownOnly
 				l.born.Add(1)
 				nb.SetSession(c)
 			}
@@ -518,7 +519,7 @@
 		own.l.post(func() {
 			c := &conn{l: own.l}
 			c.h = accept(c)
-			nb, err := nbio.NBConn(raw)
+			nb, err := ownOnly(raw)
 			if err != nil {
 				c.cause = err
 				c.end()
@@ -538,6 +539,18 @@
 	}
 }
 
+// ownOnly hands a connection to nbio, which duplicates its descriptor without marking it: a process started from here would
+// keep the connection open after this one has closed it, and its other side would wait for an answer that nobody gives.
+func ownOnly(raw net.Conn) (*nbio.Conn, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	nb, err := nbio.NBConn(raw)
+	if err == nil {
+		syscall.CloseOnExec(nb.Hash())
+	}
+	return nb, err
+}
+
 func (own *listener) Addr() string { return own.ln.Addr().String() }
 
 func (own *listener) Close() {
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -73,6 +74,43 @@
 	return a, b
 }
 
+// A process that was started from here holds none of the connections: what this one closes is closed. (Otherwise dispatchers
+// that a day starts anew kept its hosts' connections, and legs went out on them to nobody.)
+func TestChildrenHoldNoConnection(t *testing.T) {
+	both := make(chan error, 2)
+	opened := func(*ear) { both <- nil }
+	server, client := &ear{opened: opened}, &ear{opened: opened}
+	a, b := pair(t, server, client)
+	waitFor(t, "one opening", both)
+	waitFor(t, "the other opening", both)
+	child := exec.Command("sleep", "60")
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = child.Process.Kill(); _ = child.Wait() }()
+	a.Do(func() { server.conn.Close() })
+	waitFor(t, "the client's closing", client.closed)
+	second := &ear{opened: opened, closed: make(chan error, 1)}
+	heard := &ear{opened: opened, closed: make(chan error, 1)}
+	a.Do(func() {
+		ln, err := a.Listen("127.0.0.1:0", func(c seam.Conn) seam.Handler { heard.conn = c; return heard })
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		b.Post(func() { second.conn = b.Dial(ln.Addr(), seam.Second, second) })
+	})
+	waitFor(t, "one opening", both)
+	waitFor(t, "the other opening", both)
+	other := exec.Command("sleep", "60")
+	if err := other.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = other.Process.Kill(); _ = other.Wait() }()
+	b.Do(func() { second.conn.Close() })
+	waitFor(t, "the server's closing", heard.closed)
+}
+
 // All that was written before a close arrives, however much it is, and in order.
 func TestCloseAfterAllIsSent(t *testing.T) {
 	want := strings.Repeat("0123456789abcdef", 1<<17) // 2 MB, more than any socket takes at once
