The administration's records live in the store, with a move from the files of before

Need: a change of one tenant rewrote all records as one file; usage and the log of changes were kept apart from it.

Change: tenants, usage, report numbers, made keys and the log of changes are keys of an embedded store. A change and its line in the log are one transaction; a report that could not be kept counts when it comes again (before, its repeat was acknowledged without being durable). tenants.json and changes.ndjson are moved in at the first start, all or nothing.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,15 +18,16 @@
 	"plumspindle/internal/dispatch"
 	"plumspindle/internal/http1"
 	"plumspindle/internal/seam"
+	"plumspindle/internal/store"
 	"plumspindle/internal/tenancy"
 )
 
-// Records is where the administration keeps what must survive it. Both calls return only once it is durable.
+// Records is where the administration keeps what must survive it. Save makes changes together, all or none, and returns
+// only once they are durable.
 type Records interface {
-	Load() ([]byte, error) // nil where nothing was kept yet
-	Save(b []byte) error
-	Append(line []byte) error // to the log of changes
-	Log() ([][]byte, error)
+	ScanFrom(from, prefix string, each func(key string, value []byte) bool)
+	Get(key string) ([]byte, bool)
+	Save(ops []store.Op) error
 }
 
 // Role is what a caller may do.
@@ -85,14 +86,7 @@
 	registry  *tenancy.Registry
 	ledger    *tenancy.Ledger
 	followers []*conn
-	made      map[string]string // keys made under an Idempotency-Key, by it: the ids
-}
-
-// kept is what Records holds.
-type kept struct {
-	Registry *tenancy.Registry `json:"registry"`
-	Ledger   *tenancy.Ledger   `json:"ledger"`
-	Made     map[string]string `json:"made_keys"`
+	changes   uint64 // lines in the log of changes
 }
 
 // Start brings it up from what was kept.
@@ -101,26 +95,11 @@
 		return nil, fmt.Errorf("the secret has %d bytes; it needs 32 at least", len(secret))
 	}
 	a := &Admin{loop: loop, secret: secret, feedToken: dispatch.FeedToken(secret), staff: staff, records: records, random: random, log: log,
-		ledger: tenancy.NewLedger(), made: map[string]string{}}
-	b, err := records.Load()
-	if err != nil {
+		ledger: tenancy.NewLedger()}
+	if err := a.restore(); err != nil {
 		return nil, err
 	}
-	if b != nil {
-		k := kept{}
-		if err := json.Unmarshal(b, &k); err != nil || k.Registry == nil || k.Ledger == nil {
-			return nil, fmt.Errorf("the records can't be read: %v", err)
-		}
-		raw, _ := json.Marshal(k.Registry)
-		if a.registry, err = tenancy.Load(raw); err != nil {
-			return nil, err
-		}
-		a.ledger = k.Ledger
-		a.ledger.Restore()
-		if k.Made != nil {
-			a.made = k.Made
-		}
-	} else {
+	if a.registry == nil {
 		a.registry = tenancy.NewRegistry(strconv.FormatInt(int64(loop.Now()), 36))
 	}
 	a.beat()
@@ -181,18 +160,16 @@
 	if next.Version == a.registry.Version {
 		return got
 	}
-	before := a.registry
-	a.registry = next
-	if err := a.save(); err != nil {
-		a.registry = before
+	line := marshal(map[string]any{"at_s": a.now(), "who": r.who.name, "role": r.who.role, "what": what, "path": strings.Join(r.path, "/"),
+		"version": next.Version})
+	ops := append(difference(a.registry, next), store.Op{Key: changeKey(a.changes), Value: line})
+	if err := a.records.Save(append(ops, r.also...)); err != nil {
 		a.log.Error().Err(err).Msg("a change could not be kept and was not made")
 		return fail(500, "not_kept", "", "the change could not be kept and was not made")
 	}
-	line, _ := json.Marshal(map[string]any{"at_s": a.now(), "who": r.who.name, "role": r.who.role, "what": what, "path": strings.Join(r.path, "/"),
-		"version": next.Version})
-	if err := a.records.Append(line); err != nil {
-		a.log.Error().Err(err).Msg("the log of changes can't be written")
-	}
+	a.changes++
+	before := a.registry
+	a.registry = next
 	a.tellOn(before)
 	return got
 }
@@ -207,14 +184,6 @@
 	}
 }
 
-func (a *Admin) save() error {
-	b, err := json.Marshal(kept{a.registry, a.ledger, a.made})
-	if err != nil {
-		return err
-	}
-	return a.records.Save(b)
-}
-
 // takeReport adds what a dispatcher used. It is kept before it is acknowledged, so that a report counts once whatever
 // dies in between.
 func (a *Admin) takeReport(body []byte) answer {
@@ -222,14 +191,19 @@
 	if err := json.Unmarshal(body, &r); err != nil || r.Dispatcher == "" || r.Number == 0 {
 		return fail(400, "malformed", "", "not a report")
 	}
-	news := r.Number > a.ledger.Numbers[r.Dispatcher] && len(r.Used) > 0
-	a.ledger.Take(a.loop.Now(), &r)
-	if news {
-		if err := a.save(); err != nil {
+	// What is kept is what will be, worked out before it counts: a report that could not be kept comes again, and then has
+	// to count as new.
+	if sums := a.ledger.With(&r); len(sums) > 0 {
+		ops := []store.Op{numberOp(r.Dispatcher, r.Number)}
+		for _, u := range sums {
+			ops = append(ops, usedOp(u))
+		}
+		if err := a.records.Save(ops); err != nil {
 			a.log.Error().Err(err).Msg("usage could not be kept")
 			return fail(500, "not_kept", "", "the report could not be kept")
 		}
 	}
+	a.ledger.Take(a.loop.Now(), &r)
 	a.finishRemovals()
 	return answer{status: 200, body: map[string]any{"taken": r.Number}}
 }
@@ -242,12 +216,16 @@
 		}
 		before, next := a.registry, a.registry.Clone()
 		next.Ended(a.now(), name)
-		a.registry = next
-		if err := a.save(); err != nil {
-			a.registry = before
+		ops := difference(before, next)
+		a.records.ScanFrom(madeKey+name+"\x00", madeKey+name+"\x00", func(key string, _ []byte) bool {
+			ops = append(ops, store.Op{Key: key}) // the name may be another's one day
+			return true
+		})
+		if err := a.records.Save(ops); err != nil {
 			a.log.Error().Err(err).Msg("the end of a removal could not be kept")
 			return
 		}
+		a.registry = next
 		a.ledger.Forget(name)
 		a.tellOn(before)
 	}
@@ -475,9 +453,9 @@
 	}
 	repeat := r.head.Get("Idempotency-Key")
 	if repeat != "" {
-		repeat = name + "\x00" + repeat
-		if id := a.made[repeat]; id != "" {
-			return answer{status: 200, body: map[string]any{"id": id, "note": "made before; a key is shown once"}}
+		repeat = madeKey + name + "\x00" + repeat
+		if id, some := a.records.Get(repeat); some {
+			return answer{status: 200, body: map[string]any{"id": string(id), "note": "made before; a key is shown once"}}
 		}
 	}
 	var random [30]byte
@@ -489,25 +467,22 @@
 		if fault != nil {
 			return answer{}, fault
 		}
-		if repeat != "" && r.query["dry_run"] != "true" {
-			a.made[repeat] = k.ID
+		if repeat != "" {
+			r.also = append(r.also, store.Op{Key: repeat, Value: []byte(k.ID)})
 		}
 		return answer{status: 201, etag: t.Version, body: map[string]any{"id": k.ID, "key": text, "scopes": k.Scopes, "expires_s": k.Expires, "label": k.Label}}, nil
 	})
 }
 
 func (a *Admin) auditLog(r *request) answer {
-	lines, err := a.records.Log()
-	if err != nil {
-		return fail(500, "not_read", "", "the log of changes can't be read")
-	}
-	from, _ := strconv.Atoi(r.query["after"])
+	from, _ := strconv.ParseUint(r.query["after"], 10, 64)
 	list := []json.RawMessage{}
-	for i := max(from, 0); i < len(lines) && len(list) < r.page(); i++ {
-		list = append(list, lines[i])
-	}
-	next := 0
-	if end := max(from, 0) + len(list); end < len(lines) {
+	a.records.ScanFrom(changeKey(from), logKey, func(_ string, line []byte) bool {
+		list = append(list, line)
+		return len(list) < r.page()
+	})
+	next := uint64(0)
+	if end := from + uint64(len(list)); end < a.changes {
 		next = end
 	}
 	return answer{status: 200, body: map[string]any{"changes": list, "next_after": next}}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
@@ -349,9 +348,12 @@
 	if page.Get("tenants.#").Int() != 3 || page.Get("next_after").String() != "p2" {
 		t.Errorf("page: %s", page.Raw)
 	}
-	if bytes.Contains(y.records.kept, []byte(own)) || bytes.Contains(y.records.kept, []byte(key)) {
-		t.Error("a key is kept in clear")
-	}
+	y.records.Scan("", func(at string, value []byte) bool {
+		if strings.Contains(at+string(value), own) || strings.Contains(at+string(value), key) {
+			t.Errorf("a key is kept in clear, in %q", at)
+		}
+		return true
+	})
 }
 
 // A dispatcher that was down, and an administration that restarts, miss nothing; with the administration away a
@@ -415,30 +417,95 @@
 	})
 }
 
-// Files: what is saved is read again; a secret that others can read, or a short one, is refused; a log cut off in
-// mid-line loses that line only.
-func TestFiles(t *testing.T) {
-	f := Files{t.TempDir() + "/deep/er"}
-	if b, err := f.Load(); b != nil || err != nil {
-		t.Fatal(b, err)
-	}
-	for _, s := range []string{"one", "two"} {
-		if err := f.Save([]byte(s)); err != nil {
+// The records of before the store are moved into it, once and whole, also where the move died before the files were
+// renamed; what was kept is there after a restart; a second process, a damaged file and a secret that others can read are
+// refused.
+func TestRecordsMoveIntoTheStore(t *testing.T) {
+	dir := t.TempDir() + "/deep/er"
+	g := tenancy.NewRegistry("e1")
+	for _, name := range []string{"a", "b"} {
+		if _, _, fault := g.Create(5, name, tenancy.Limits{PerS: 3}, nil); fault != nil {
+			t.Fatal(fault)
+		}
+	}
+	l := tenancy.NewLedger()
+	l.Take(0, &tenancy.Report{Dispatcher: "d1", Number: 7, Used: []tenancy.Used{{Tenant: "a", Product: "explain", Day: "2026-01-01", Streamed: 4}}})
+	old, _ := json.Marshal(kept{g, l, map[string]string{"a\x00k1": "id1"}})
+	write := func(name, text string) {
+		t.Helper()
+		if err := errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(dir+"/"+name, []byte(text), 0o600)); err != nil {
 			t.Fatal(err)
 		}
-		if err := f.Append([]byte(s)); err != nil {
+	}
+	write("tenants.json", "{")
+	if _, err := OpenKept(dir); err == nil || !strings.Contains(err.Error(), "tenants.json") {
+		t.Fatalf("a damaged file of before: %v", err)
+	}
+	write("tenants.json", string(old))
+	write("changes.ndjson", `{"who":"ann"}`+"\n"+`{"who":"bob"}`+"\n"+`{"who":"cut o`)
+	w := virtual.New(1)
+	for round := range 3 {
+		k, err := OpenKept(dir)
+		if err != nil {
+			t.Fatal(round, err)
+		}
+		if _, err := OpenKept(dir); err == nil || !strings.Contains(err.Error(), "in use") {
+			t.Errorf("a second process: %v", err)
+		}
+		a, err := Start(w.Loop("x"), secret, nil, k, rand.New(rand.NewSource(1)), zerolog.Nop())
+		if err != nil {
 			t.Fatal(err)
 		}
+		id, _ := k.Get(madeKey + "a\x00k1")
+		if a.registry.Epoch != "e1" || a.registry.Version != 2+uint64(round) || a.registry.Tenants["b"].Limits.PerS != 3 || a.changes != 2+uint64(round) ||
+			a.ledger.Numbers["d1"] != 7 || len(a.ledger.Of("a")) != 1 || a.ledger.Of("a")[0].Streamed != 4 || string(id) != "id1" {
+			t.Errorf("round %d: %+v, %d changes, %+v, %q", round, a.registry, a.changes, a.ledger, id)
+		}
+		r := &request{query: map[string]string{}, who: caller{name: "ann"}, path: []string{"tenants", "a"}}
+		if got := a.change(r, "suspended", func(g *tenancy.Registry) (answer, *tenancy.Fault) {
+			g.Version++
+			return answer{status: 200}, nil
+		}); got.status != 200 {
+			t.Errorf("round %d: %+v", round, got)
+		}
+		k.Close()
+		write("tenants.json", string(old)) // as if it had died before the renaming
 	}
-	if b, err := f.Load(); string(b) != "two" || err != nil {
-		t.Error(string(b), err)
+	k, err := OpenKept(dir)
+	if err != nil {
+		t.Fatal(err)
 	}
-	w, _ := os.OpenFile(f.log(), os.O_APPEND|os.O_WRONLY, 0)
-	_, _ = w.WriteString("cut o")
-	w.Close()
-	if lines, err := f.Log(); len(lines) != 2 || string(lines[1]) != "two" || err != nil {
-		t.Error(lines, err)
+	k.Close()
+	if _, err := os.Stat(dir + "/tenants.json.moved"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A report that could not be kept comes again and counts then, and once.
+func TestReportThatWasNotKept(t *testing.T) {
+	records := &Memory{}
+	w := virtual.New(1)
+	a, err := Start(w.Loop("x"), secret, nil, records, rand.New(rand.NewSource(1)), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
 	}
+	report, _ := json.Marshal(tenancy.Report{Dispatcher: "d1", Number: 1, Used: []tenancy.Used{{Tenant: "a", Product: "p", Day: "d", Taken: 3}, {Tenant: "a", Product: "p", Day: "d", Taken: 2}}})
+	for i, want := range []int{500, 200, 200} {
+		if records.Refuse = nil; i == 0 {
+			records.Refuse = errors.New("disk full")
+		}
+		if got := a.takeReport(report); got.status != want {
+			t.Errorf("time %d: %+v", i, got)
+		}
+		again, err := Start(w.Loop("y"), secret, nil, records, rand.New(rand.NewSource(1)), zerolog.Nop())
+		if used := again.ledger.Of(""); err != nil || i == 0 && len(used) > 0 || i > 0 && (len(used) != 1 || used[0].Taken != 5) {
+			t.Errorf("time %d: kept: %+v %v", i, used, err)
+		}
+	}
+}
+
+// A secret that others can read, or a short one, is refused.
+func TestSecret(t *testing.T) {
 	path := t.TempDir() + "/secret"
 	for _, c := range []struct {
 		text string
--- a/internal/admin/files.go
+++ b/internal/admin/files.go
@@ -2,97 +2,268 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
+
+	"plumspindle/internal/store"
+	"plumspindle/internal/tenancy"
 )
 
-// Files keeps the records in a folder: one file that is replaced in one step, and a log that is appended to.
-type Files struct{ Dir string }
+// Kept holds the records in an embedded store in a folder. The administration has a loop of its own, which waits for the
+// disk: a change is answered only once it is durable, and the next one begins from there.
+type Kept struct {
+	*store.Store
+	files  *store.Files
+	posted chan func()
+}
 
-func (f Files) records() string { return filepath.Join(f.Dir, "tenants.json") }
-func (f Files) log() string     { return filepath.Join(f.Dir, "changes.ndjson") }
+// diskWithin is how long the disk may take for one change before the store counts as failed.
+const diskWithin = 20 * time.Second
 
-// Load reads what was kept; nil where nothing was.
-func (f Files) Load() ([]byte, error) {
-	if err := os.MkdirAll(f.Dir, 0o700); err != nil {
-		return nil, fmt.Errorf("records: %w", err)
+// OpenKept opens a folder's store, or makes it. Records of before the store, one file tenants.json with a log of changes
+// beside it, are moved in, all or nothing, and the files get names that end in .moved.
+func OpenKept(dir string) (*Kept, error) {
+	k := &Kept{posted: make(chan func(), 1024)}
+	var err error
+	if k.files, err = store.OpenFiles(dir, func(f func()) { k.posted <- f }); err != nil {
+		return nil, err
 	}
-	b, err := os.ReadFile(f.records())
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
+	if k.Store, err = store.Open(k.files, store.Usual); err != nil {
+		k.files.Close()
+		return nil, fmt.Errorf("%s: %w", dir, err)
 	}
-	return b, err
+	if err := k.move(dir); err != nil {
+		k.files.Close()
+		return nil, fmt.Errorf("%s: the records of before can't be moved into the store: %w", dir, err)
+	}
+	return k, nil
 }
 
-// Save replaces the file: the new one is on the disk, whole, before it takes the old one's name, and the name is on the
-// disk before this returns.
-func (f Files) Save(b []byte) error {
-	part := f.records() + ".part"
-	w, err := os.OpenFile(part, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return fmt.Errorf("records: %w", err)
+// move takes over what an earlier version kept. A crash between the commit and the renaming does no harm: what is in the
+// store counts, and the files are not read again.
+func (k *Kept) move(dir string) error {
+	old, log := filepath.Join(dir, "tenants.json"), filepath.Join(dir, "changes.ndjson")
+	b, err := os.ReadFile(old)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
 	}
-	_, err = w.Write(b)
-	err = errors.Join(err, w.Sync(), w.Close())
 	if err != nil {
-		return fmt.Errorf("records: %w", err)
+		return err
 	}
-	if err := os.Rename(part, f.records()); err != nil {
-		return fmt.Errorf("records: %w", err)
+	if k.Len() == 0 {
+		was := kept{}
+		if err := json.Unmarshal(b, &was); err != nil || was.Registry == nil || was.Registry.Epoch == "" || was.Ledger == nil {
+			return fmt.Errorf("%s is not a whole record: %v", old, err)
+		}
+		lines, err := os.ReadFile(log)
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		ops := []store.Op{headOp(was.Registry)}
+		for _, name := range was.Registry.Names() {
+			ops = append(ops, tenantOp(was.Registry, name))
+		}
+		for _, u := range was.Ledger.Of("") {
+			ops = append(ops, usedOp(u))
+		}
+		for d, n := range was.Ledger.Numbers {
+			ops = append(ops, numberOp(d, n))
+		}
+		for repeat, id := range was.Made {
+			ops = append(ops, store.Op{Key: madeKey + repeat, Value: []byte(id)})
+		}
+		for i := 0; ; i++ {
+			line, rest, whole := bytes.Cut(lines, []byte("\n"))
+			if !whole { // a last line that was cut off told of nothing that counts
+				break
+			}
+			ops = append(ops, store.Op{Key: changeKey(uint64(i)), Value: line})
+			lines = rest
+		}
+		if err := k.Save(ops); err != nil {
+			return err
+		}
 	}
-	dir, err := os.Open(f.Dir)
-	if err != nil {
-		return fmt.Errorf("records: %w", err)
+	for _, name := range []string{old, log} {
+		if err := os.Rename(name, name+".moved"); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
 	}
-	return errors.Join(dir.Sync(), dir.Close())
+	return nil
 }
 
-// Append adds a line to the log of changes.
-func (f Files) Append(line []byte) error {
-	w, err := os.OpenFile(f.log(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
-	if err != nil {
+// Save commits changes together and waits until they are durable.
+func (k *Kept) Save(ops []store.Op) error {
+	var answered bool
+	var failed error
+	if err := k.Commit(ops, nil, false, func(err error) { answered, failed = true, err }); err != nil {
 		return err
 	}
-	_, err = w.Write(append(line, '\n'))
-	return errors.Join(err, w.Sync(), w.Close())
-}
-
-// Log reads it; a last line that was cut off is left out.
-func (f Files) Log() (lines [][]byte, err error) {
-	b, err := os.ReadFile(f.log())
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
+	for late := time.After(diskWithin); !answered; {
+		select {
+		case f := <-k.posted:
+			f()
+		case <-late:
+			return errors.New("the disk does not answer; whether the change is kept shows at the next start")
+		}
 	}
-	for {
-		line, rest, whole := bytes.Cut(b, []byte("\n"))
-		if !whole {
-			return lines, nil
+	for { // what else the disk has answered meanwhile: a snapshot's end
+		select {
+		case f := <-k.posted:
+			f()
+		default:
+			return failed
 		}
-		lines = append(lines, line)
-		b = rest
 	}
 }
 
+// Close gives the folder back.
+func (k *Kept) Close() { k.files.Close() }
+
 // Memory keeps the records for as long as the process lives, for trying things out.
 type Memory struct {
-	kept []byte
-	log  [][]byte
+	store.Index
 	// Refuse, where it is set, is the error of the next Save.
 	Refuse error
 }
 
-func (m *Memory) Load() ([]byte, error) { return m.kept, nil }
-func (m *Memory) Save(b []byte) error {
+// Save changes them.
+func (m *Memory) Save(ops []store.Op) error {
 	if m.Refuse != nil {
 		return m.Refuse
 	}
-	m.kept = b
+	for _, o := range ops {
+		if o.Value == nil {
+			m.Delete(o.Key)
+		} else {
+			m.Set(o.Key, o.Value)
+		}
+	}
 	return nil
 }
-func (m *Memory) Append(line []byte) error { m.log = append(m.log, line); return nil }
-func (m *Memory) Log() ([][]byte, error)   { return m.log, nil }
+
+// Keys of the records. A name never holds a zero byte; what comes from clients comes last.
+const (
+	headKey   = "registry"
+	tenantKey = "tenant/"
+	usedKey   = "used/"   // tenant, zero, day, zero, product
+	numberKey = "number/" // dispatcher: its last report that counts
+	madeKey   = "made/"   // tenant, zero, Idempotency-Key: the id of the key that was made
+	logKey    = "change/" // number, 16 hexadecimal digits
+)
+
+// kept is the one file of versions before the store.
+type kept struct {
+	Registry *tenancy.Registry `json:"registry"`
+	Ledger   *tenancy.Ledger   `json:"ledger"`
+	Made     map[string]string `json:"made_keys"`
+}
+
+// keptTenant is one tenant with the registry's version at its last change.
+type keptTenant struct {
+	Changed uint64          `json:"changed"`
+	Tenant  *tenancy.Tenant `json:"tenant"`
+}
+
+func changeKey(n uint64) string { return fmt.Sprintf("%s%016x", logKey, n) }
+
+// marshal is for our own records, which can always be written.
+func marshal(v any) []byte {
+	b, _ := json.Marshal(v)
+	return b
+}
+
+// headOp is all of a registry but its tenants.
+func headOp(r *tenancy.Registry) store.Op {
+	head := *r
+	head.Tenants, head.Changed = nil, nil
+	return store.Op{Key: headKey, Value: marshal(head)}
+}
+
+func tenantOp(r *tenancy.Registry, name string) store.Op {
+	return store.Op{Key: tenantKey + name, Value: marshal(keptTenant{r.Changed[name], r.Tenants[name]})}
+}
+
+func usedOp(u tenancy.Used) store.Op { return store.Op{Key: usedKey + u.Key(), Value: marshal(u)} }
+
+func numberOp(dispatcher string, n uint64) store.Op {
+	return store.Op{Key: numberKey + dispatcher, Value: marshal(n)}
+}
+
+// difference is what takes the records from one registry to the next.
+func difference(before, next *tenancy.Registry) []store.Op {
+	ops := []store.Op{headOp(next)}
+	for _, name := range next.Names() {
+		if next.Changed[name] > before.Version {
+			ops = append(ops, tenantOp(next, name))
+		}
+	}
+	for _, name := range before.Names() {
+		if next.Tenants[name] == nil {
+			ops = append(ops, store.Op{Key: tenantKey + name})
+		}
+	}
+	return ops
+}
+
+// restore builds the state from the records.
+func (a *Admin) restore() error {
+	var fault error
+	each := func(prefix string, into func(rest string, value []byte) error) {
+		a.records.ScanFrom(prefix, prefix, func(key string, value []byte) bool {
+			if err := into(key[len(prefix):], value); err != nil {
+				fault = fmt.Errorf("record %q: %w", key, err)
+			}
+			return fault == nil
+		})
+	}
+	each(headKey, func(_ string, value []byte) error {
+		r := tenancy.NewRegistry("")
+		if err := json.Unmarshal(value, r); err != nil {
+			return err
+		}
+		if r.Epoch == "" {
+			return errors.New("a registry without an epoch")
+		}
+		a.registry = r
+		a.registry.Tenants, a.registry.Changed = map[string]*tenancy.Tenant{}, map[string]uint64{}
+		return nil
+	})
+	each(tenantKey, func(name string, value []byte) error {
+		var t keptTenant
+		if err := json.Unmarshal(value, &t); err != nil {
+			return err
+		}
+		if t.Tenant == nil || t.Tenant.Name != name || a.registry == nil || t.Changed > a.registry.Version {
+			return errors.New("it does not belong to this registry")
+		}
+		a.registry.Tenants[name], a.registry.Changed[name] = t.Tenant, t.Changed
+		return nil
+	})
+	each(usedKey, func(key string, value []byte) error {
+		var u tenancy.Used
+		if err := json.Unmarshal(value, &u); err != nil {
+			return err
+		}
+		if u.Key() != key {
+			return errors.New("it is another's usage")
+		}
+		a.ledger.Sums[key] = u
+		return nil
+	})
+	each(numberKey, func(dispatcher string, value []byte) error {
+		var n uint64
+		err := json.Unmarshal(value, &n)
+		a.ledger.Numbers[dispatcher] = n
+		return err
+	})
+	each(logKey, func(string, []byte) error { a.changes++; return nil })
+	return fault
+}
 
 // ReadSecret reads a file that nobody but its owner may read.
 func ReadSecret(path string) ([]byte, error) {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -11,6 +11,7 @@
 	"plumspindle/internal/http1"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/sse"
+	"plumspindle/internal/store"
 )
 
 const (
@@ -28,6 +29,7 @@
 	head   *http1.Head
 	body   []byte
 	who    caller
+	also   []store.Op // kept together with the change that it makes
 }
 
 // answer is what a call gets.
--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -40,12 +40,17 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.Staff, err)
 	}
+	records, err := admin.OpenKept(c.Records)
+	if err != nil {
+		return err
+	}
+	defer records.Close()
 	loop, err := sockets.Start()
 	if err != nil {
 		return err
 	}
 	defer loop.Stop()
-	ln, err := startAdmin(s, loop, c.Listen, secret, staff, admin.Files{Dir: c.Records})
+	ln, err := startAdmin(s, loop, c.Listen, secret, staff, records)
 	if err != nil {
 		return err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -186,11 +187,10 @@
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
-	rest, ok := strings.CutPrefix(string(b), magic)
+	b, ok := bytes.CutPrefix(b, []byte(magic))
 	if !ok {
 		return fmt.Errorf("%w: %s: unknown format", ErrCorrupt, name)
 	}
-	b = []byte(rest)
 	for at := 0; ; {
 		payload, size, ok := unframe(b[at:])
 		var batch pb.Batch
@@ -217,7 +217,7 @@
 		return fmt.Errorf("store: %w", err)
 	}
 	at := 0
-	if strings.HasPrefix(string(b), magic) {
+	if bytes.HasPrefix(b, []byte(magic)) {
 		at = len(magic)
 	} else if !last || len(b) >= len(magic) || !strings.HasPrefix(magic, string(b)) {
 		return fmt.Errorf("%w: %s: unknown format", ErrCorrupt, name)
@@ -302,6 +302,11 @@
 	s.index.Scan(prefix, each)
 }
 
+// ScanFrom begins at a key.
+func (s *Store) ScanFrom(from, prefix string, each func(key string, value []byte) bool) {
+	s.index.ScanFrom(from, prefix, each)
+}
+
 // Snapshot is all of it as it is now; it stays so.
 func (s *Store) Snapshot() *Index { return s.index.Snapshot() }
 
@@ -322,16 +327,16 @@
 			return fmt.Errorf("%w: %q", ErrConflict, c.Key)
 		}
 	}
-	keys, bytes := s.index.Len(), s.bytes
+	keys, size := s.index.Len(), s.bytes
 	batch := &pb.Batch{Seq: s.seq + 1}
 	for _, o := range ops {
 		if o.Value != nil {
 			keys++ // at most; one that is there already counts for itself only once it is refused
-			bytes += len(o.Key) + len(o.Value)
+			size += len(o.Key) + len(o.Value)
 		}
 		batch.Ops = append(batch.Ops, &pb.Op{Key: []byte(o.Key), Value: o.Value, Delete: o.Value == nil})
 	}
-	if grows := slices.ContainsFunc(ops, func(o Op) bool { return o.Value != nil }); grows && (keys > s.bounds.Keys || bytes > s.bounds.Bytes) {
+	if grows := slices.ContainsFunc(ops, func(o Op) bool { return o.Value != nil }); grows && (keys > s.bounds.Keys || size > s.bounds.Bytes) {
 		return ErrFull
 	}
 	payload, err := proto.Marshal(batch)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -19,6 +19,7 @@
 	past   []operation
 	answer []func()
 	fault  error // of the operations from now on
+	told   int   // operations whose success was told
 }
 
 type operation struct {
@@ -52,7 +53,12 @@
 		m.past = append(m.past, o)
 		o.to(m.files, len(o.data))
 	}
-	m.answer = append(m.answer, func() { done(err) })
+	m.answer = append(m.answer, func() {
+		if err == nil {
+			m.told++
+		}
+		done(err)
+	})
 }
 
 // to does an operation on files as far as some bytes of it.
--- a/internal/tenancy/usage.go
+++ b/internal/tenancy/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -118,20 +119,33 @@
 	return &Ledger{Sums: map[string]Used{}, Numbers: map[string]uint64{}, heard: map[string]Micros{}, ended: map[string]map[string]bool{}}
 }
 
-// Restore makes a kept one whole again.
-func (l *Ledger) Restore() {
-	l.heard, l.ended = map[string]Micros{}, map[string]map[string]bool{}
-	if l.Sums == nil {
-		l.Sums = map[string]Used{}
+// dispatcherRest is how long a dispatcher that reports nothing still counts as one that may serve.
+const dispatcherRest = 10 * second
+
+// Key names the line that a use is summed in.
+func (u Used) Key() string { return u.Tenant + "\x00" + u.Day + "\x00" + u.Product }
+
+// With is the sums that a report changes, as they will be; none where it has counted already.
+func (l *Ledger) With(r *Report) []Used {
+	if r.Number <= l.Numbers[r.Dispatcher] {
+		return nil
 	}
-	if l.Numbers == nil {
-		l.Numbers = map[string]uint64{}
+	sums := map[string]Used{}
+	for _, u := range r.Used {
+		k := u.Key()
+		sum, some := sums[k]
+		if !some {
+			sum = l.Sums[k]
+		}
+		sum.Tenant, sum.Product, sum.Day = u.Tenant, u.Product, u.Day
+		sum.add(u)
+		sums[k] = sum
 	}
+	all := slices.Collect(maps.Values(sums))
+	sortUsed(all)
+	return all
 }
 
-// dispatcherRest is how long a dispatcher that reports nothing still counts as one that may serve.
-const dispatcherRest = 10 * second
-
 // Take adds a report, once.
 func (l *Ledger) Take(now Micros, r *Report) {
 	l.heard[r.Dispatcher] = now
@@ -144,14 +158,10 @@
 	if r.Number <= l.Numbers[r.Dispatcher] {
 		return
 	}
-	l.Numbers[r.Dispatcher] = r.Number
-	for _, u := range r.Used {
-		k := u.Tenant + "\x00" + u.Day + "\x00" + u.Product
-		sum := l.Sums[k]
-		sum.Tenant, sum.Product, sum.Day = u.Tenant, u.Product, u.Day
-		sum.add(u)
-		l.Sums[k] = sum
+	for _, u := range l.With(r) {
+		l.Sums[u.Key()] = u
 	}
+	l.Numbers[r.Dispatcher] = r.Number
 }
 
 // EndedEverywhere tells whether each dispatcher that lives has said that nothing of a tenant runs there.
