Intents are written while the prompt is read; restarts and floods are measured

Need: the record of an intent stood between read and write, on the way to the first token; restarts without discovery and floods over sockets were not measured.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -268,6 +268,9 @@
 		if p.Effect == pb.Product_EFFECT_UNSPECIFIED {
 			r.wrong(at+".effect", "must be stated: IDEMPOTENT, DEDUPLICATED or SIDE_EFFECTING")
 		}
+		if p.Intent != pb.Product_WITH_READ && p.Effect == pb.Product_IDEMPOTENT {
+			r.wrong(at+".intent", "is for products that may not simply run again; nothing is written down of an IDEMPOTENT one")
+		}
 		if p.TimeLimitMs < p.SloMs {
 			r.wrong(at+".time_limit_ms", "is below slo_ms")
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -121,7 +121,7 @@
 	repeat   *repeat.Entry // where it came with a key that counts
 	ran      bool          // some write of it may have run
 	ranFirst bool          // one before the last
-	intended bool          // its intent is kept
+	intent   intent
 	seat     *seat
 	ticket   *tenancy.Ticket
 	taken    seam.Micros
@@ -625,6 +625,7 @@
 	}
 	if reads {
 		g.mayLie = append(g.mayLie, place{w.host, name})
+		x.intendEarly(g)
 		g.leg = x.engine.Read(w.host, name, g.clientID, g.ask, w.allow, hear)
 		return
 	}
--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -29,18 +29,18 @@
 	if x.post.Intents == nil {
 		return
 	}
-	type intent struct {
+	type past struct {
 		key           repeat.Key
 		request       uint64
 		until, window seam.Micros
 	}
-	var all []intent
+	var all []past
 	now := x.loop.Now()
 	x.post.Intents.Scan(intentPrefix, func(key string, v []byte) bool {
 		if len(v) != intentLen || len(key) != len(intentPrefix)+len(repeat.Key{}) {
 			return true
 		}
-		i := intent{request: binary.LittleEndian.Uint64(v), until: seam.Micros(binary.LittleEndian.Uint64(v[8:])), window: seam.Micros(binary.LittleEndian.Uint64(v[16:]))}
+		i := past{request: binary.LittleEndian.Uint64(v), until: seam.Micros(binary.LittleEndian.Uint64(v[8:])), window: seam.Micros(binary.LittleEndian.Uint64(v[16:]))}
 		copy(i.key[:], key[len(intentPrefix):])
 		if i.until == 0 || i.until > now+i.window { // running; or the clock was ahead then, and a window is enough
 			i.until = now + i.window
@@ -48,7 +48,7 @@
 		all = append(all, i)
 		return true
 	})
-	slices.SortStableFunc(all, func(a, b intent) int { return int(a.until - b.until) })
+	slices.SortStableFunc(all, func(a, b past) int { return int(a.until - b.until) })
 	for _, i := range all {
 		x.repeats.Restore(i.key, i.request, i.until, i.window)
 	}
@@ -66,27 +66,62 @@
 	return seam.Micros(x.Doors.RememberMs) * seam.Millisecond
 }
 
-// intend keeps that a generation may run from now on, and then goes on: kept tells whether it is certain that it was.
+// An intent of one generation. With a read it is written down as the read goes out, so that the disk works while the host
+// does; what died in between is then taken to have run although it had not. Before the write it costs the sync's time.
+type intent struct {
+	asked, kept bool
+	then        func(kept bool) // a write that waits for it
+}
+
+// intends tells whether a generation's product asks for a record, and when.
+func (x *Dispatcher) intends(g *gen, when pb.Product_Intent) bool {
+	return g.repeat != nil && x.post.Intents != nil && x.Products[g.product].Intent == when
+}
+
+// intendEarly begins to write the record as the read goes out.
+func (x *Dispatcher) intendEarly(g *gen) {
+	if x.intends(g, pb.Product_WITH_READ) && !g.intent.asked {
+		x.record(g)
+	}
+}
+
+// intend goes on once it is kept that a generation may run from now on: kept tells whether it is certain that it was.
 func (x *Dispatcher) intend(g *gen, then func(kept bool)) {
-	if g.repeat == nil || x.post.Intents == nil || g.intended {
+	switch {
+	case x.intends(g, pb.Product_NO_RECORD), g.repeat == nil, x.post.Intents == nil, g.intent.kept:
 		then(true)
 		return
+	case g.intent.then != nil: // a later leg waits in place of one that was taken back
+	case !g.intent.asked:
+		x.record(g)
 	}
-	key := g.repeat.Key()
-	err := x.post.Intents.Commit([]store.Op{{Key: intentPrefix + string(key[:]), Value: intentValue(g.repeat.Request(), 0, x.window(g))}}, nil, false,
-		func(err error) {
-			g.intended = err == nil
+	g.intent.then = then
+}
+
+func (x *Dispatcher) record(g *gen) {
+	g.intent.asked = true
+	answered := func(err error) {
+		g.intent.asked, g.intent.kept = err == nil, err == nil
+		if then := g.intent.then; then != nil {
+			g.intent.then = nil
 			then(err == nil)
-		})
+		}
+	}
+	key := g.repeat.Key()
+	err := x.post.Intents.Commit([]store.Op{{Key: intentPrefix + string(key[:]), Value: intentValue(g.repeat.Request(), 0, x.window(g))}}, nil, false, answered)
 	if err != nil {
 		x.post.Log.Error().Err(err).Msg("an intent can't be kept; the generation is not run")
-		x.loop.Later(func() { then(false) })
+		x.loop.Later(func() { answered(err) })
 	}
 }
 
 // keepEnd keeps when a key is to be forgotten. It is written with the next group: lost, the key is remembered for longer.
 func (x *Dispatcher) keepEnd(e *repeat.Entry, window seam.Micros) {
-	if x.post.Intents == nil || e.Until() == 0 {
+	if x.post.Intents == nil {
+		return
+	}
+	if e.Until() == 0 { // nothing ran, and the key is free: a crash now is not to say otherwise
+		x.post.Intents.Flush()
 		return
 	}
 	key := e.Key()
--- a/internal/lab/hosts/fleet.go
+++ b/internal/lab/hosts/fleet.go
@@ -86,6 +86,25 @@
 	return some[:min(max(n, 1), len(some))]
 }
 
+// Replace ends a share of the hosts and has as many others, with ids and addresses of their own, take their places.
+func (f *Fleet) Replace(share float64) error {
+	if share == 0 {
+		return nil
+	}
+	last := f.Hosts[len(f.Hosts)-1].ID
+	for _, old := range f.Pick("", share) {
+		old.Crash(0)
+		last += 1 + uint32(f.rand.Intn(7))
+		h := &Host{fleet: f, ID: last, Zone: old.Zone, Cell: old.Cell, group: old.group, kind: old.kind, slow: 1}
+		if err := h.up(f.loop.Now()); err != nil {
+			return err
+		}
+		f.Hosts = append(f.Hosts, h)
+		f.changed(h, "ready")
+	}
+	return nil
+}
+
 // Cut parts a zone from all others for a while: what crosses is neither answered nor read.
 func (f *Fleet) Cut(zone string, span seam.Micros) {
 	for _, h := range f.Hosts {
--- a/internal/program/bench.go
+++ b/internal/program/bench.go
@@ -17,6 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/tidwall/gjson"
+	"google.golang.org/protobuf/proto"
 
 	"plumspindle/choice"
 	"plumspindle/internal/chat"
@@ -37,6 +38,7 @@
 	Streams int           `default:"5000" help:"Open streams whose memory, gaps and CPU are measured, beside a tenth of them; 0 leaves that part out."`
 	Against string        `type:"existingfile" help:"Another build, whose open streams are measured beside this one's."`
 	Binary  string        `type:"existingfile" help:"Program whose dispatcher is measured, such as an earlier build; this one if none is given."`
+	Intents bool          `help:"Measure, in place of all else, what the record of intents adds to the time to first token, with it and without in the same run."`
 	Profile string        `type:"path" help:"File for a CPU profile of the dispatcher at that rate."`
 	Seed    int64         `default:"1" help:"Seed of all chance."`
 }
@@ -107,6 +109,9 @@
 	defer logs.Close()
 	args := []string{"serve", "--deployment", file, "--roster", m.fleet.Roster.Addr, "--listen", "127.0.0.1:0",
 		"--ready-file", ready, "--seed", strconv.FormatInt(c.Seed, 10)}
+	if c.Intents {
+		args = append(args, "--state-dir", filepath.Join(m.dir, "state"))
+	}
 	if c.Profile != "" {
 		args = append(args, "--profile", c.Profile)
 		c.Profile = ""
@@ -198,15 +203,19 @@
 	})
 }
 
-func (m *measured) body(most int) []byte {
-	return []byte(fmt.Sprintf(`{"model":"explain","stream":true,"max_tokens":%d,"messages":[{"role":"system","content":%q},`+
-		`{"role":"user","content":"why?"}]}`, most, strings.Repeat("the build log says ", 120)))
+func (m *measured) body(model string, most int) []byte {
+	return []byte(fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"system","content":%q},`+
+		`{"role":"user","content":"why?"}]}`, model, most, strings.Repeat("the build log says ", 120)))
 }
 
 func (m *measured) ask(id string, most int, first, token func(), end func(bool)) *benchAsk {
+	return m.askOf("explain", id, most, first, token, end)
+}
+
+func (m *measured) askOf(model, id string, most int, first, token func(), end func(bool), fields ...string) *benchAsk {
 	a := &benchAsk{parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: 1 << 20}, first: first, token: token, end: end}
-	a.request = http1.AppendRequest(nil, "POST", "/v1/chat/completions", m.api, m.body(most), "Authorization", "Bearer "+m.key,
-		"Content-Type", "application/json", "x-client-request-id", id, "Connection", "close")
+	a.request = http1.AppendRequest(nil, "POST", "/v1/chat/completions", m.api, m.body(model, most), append(fields, "Authorization", "Bearer "+m.key,
+		"Content-Type", "application/json", "x-client-request-id", id, "Connection", "close")...)
 	a.conn = m.asks.Dial(m.api, 5*seam.Second, a)
 	return a
 }
@@ -216,6 +225,9 @@
 	if c.Rate <= 0 || c.Rate > 5000 || c.Streams < 0 || c.Streams > 15000 {
 		return fmt.Errorf("bench: the rate must be above 0 and at most 5000, the streams at most 15000")
 	}
+	if c.Intents {
+		return c.intents(s)
+	}
 	if err := c.latency(s); err != nil {
 		return err
 	}
@@ -245,7 +257,7 @@
 				writers = append(writers, id)
 			}
 		}
-		plain, problem := chat.ParseAsk(m.body(40), "bench", nil)
+		plain, problem := chat.ParseAsk(m.body("explain", 40), "bench", nil)
 		if problem != nil {
 			err = problem
 			return
@@ -448,3 +460,67 @@
 func (g crowd) print(s *surroundings, name string) {
 	fmt.Fprintf(s.out, "  %-14s %7d %7d %7d %10.0f %12.2f %12.2f %12.1f %12.0f\n", name, g.asked, g.begun, g.ended, g.tokens, g.gap50, g.gap99, g.cpu, g.bytes)
 }
+
+// intents compares generations that are written down before they may run with others that are not, through one dispatcher.
+func (c *benchCommand) intents(s *surroundings) error {
+	d := benchFleet(4000, 0)
+	for _, p := range d.Products {
+		if p.Name == "review-post" {
+			late := proto.Clone(p).(*pb.Product)
+			late.Name, late.Intent = "late", pb.Product_BEFORE_WRITE
+			d.Products = append(d.Products, late)
+		}
+	}
+	m, err := c.start(s, d)
+	if err != nil {
+		return err
+	}
+	sorts := []struct {
+		name, model string
+		keyed       bool
+		first       *hdrhistogram.Histogram
+	}{{"no key, no record", "review-post", false, nil}, {"record while it is read", "review-post", true, nil}, {"record before the write", "late", true, nil}}
+	for i := range sorts {
+		sorts[i].first = hdrhistogram.New(1, 60_000_000, 3)
+	}
+	var asked, failed, open int
+	m.asks.Do(func() {
+		chance := rand.New(rand.NewSource(c.Seed))
+		until := m.asks.Now() + seam.Micros(c.For.Microseconds())
+		var next func()
+		next = func() {
+			began := m.asks.Now()
+			if began >= until {
+				return
+			}
+			m.asks.After(seam.Micros(chance.ExpFloat64()/c.Rate*1e6), next)
+			asked++
+			open++
+			sort := &sorts[chance.Intn(len(sorts))]
+			id := fmt.Sprintf("b%d", asked)
+			var fields []string
+			if sort.keyed {
+				fields = []string{"Idempotency-Key", id}
+			}
+			m.askOf(sort.model, id, 40, func() { _ = sort.first.RecordValue(int64(m.asks.Now() - began)) }, func() {}, func(ok bool) {
+				open--
+				if !ok {
+					failed++
+				}
+			}, fields...)
+		}
+		next()
+	})
+	for left := 1; left > 0; {
+		time.Sleep(250 * time.Millisecond)
+		m.asks.Do(func() { left = open })
+	}
+	m.close()
+	fmt.Fprintf(s.out, "time to first token, ms, stand-in hosts, %.0f generations a second, %d asked, %d failed\n", c.Rate, asked, failed)
+	for _, sort := range sorts {
+		h := sort.first
+		fmt.Fprintf(s.out, "  %-24s p50 %7.2f  p90 %7.2f  p99 %7.2f  (%d)\n", sort.name, float64(h.ValueAtQuantile(50))/1000,
+			float64(h.ValueAtQuantile(90))/1000, float64(h.ValueAtQuantile(99))/1000, h.TotalCount())
+	}
+	return nil
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -51,7 +51,8 @@
 	Day      dayCommand      `cmd:"" help:"Play a scripted day with dispatchers as processes of their own, and judge it."`
 	Audit    auditCommand    `cmd:"" help:"Judge a recorded day again."`
 	Bench    benchCommand    `cmd:"" help:"Measure what the dispatcher adds, against the same hosts called directly."`
-	Fairness fairnessCommand `cmd:"" help:"Play days on which one tenant floods, in virtual time, and compare what the others get."`
+	Fairness fairnessCommand `cmd:"" help:"Play days on which one tenant floods, in virtual time or over sockets, and compare what the others get."`
+	Restarts restartsCommand `cmd:"" help:"Restart all dispatchers at once, in virtual time, with and without discovery, from lists of several ages."`
 	Store    storeCommand    `cmd:"" help:"Look at an embedded store."`
 	Check    checkCommand    `cmd:"" help:"Check a deployment and name every fault."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
