--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,6 +34,7 @@
 
 	burstTime   = 2.0  // seconds of its share that a tenant may send at once
 	holdShare   = 0.3  // of the SLO time; a read that would take longer is held, not queued at its reader
+	makeWay     = 0.02 // seconds of work ahead of what is only read, past which it is held
 	slowFrom    = 1.5  // times the median time of answers, above which a host's streams count for more
 	slowStart   = 0.25 // of the SLO time; an answer that begins later begins late
 	capCut      = 0.8  // of what was held when answers began late may be held next; cut at most
@@ -192,7 +193,8 @@
 		d.giveUp(g)
 		return
 	}
-	if m := d.pickMixed(g); m != nil {
+	whole := d.Products[g.product].ReadOnly // it goes to mixed hosts only where the readers are busy
+	if m := d.pickMixed(g); m != nil && !whole {
 		d.answerAt(g, m, g.prompt)
 		return
 	}
@@ -209,8 +211,12 @@
 	}
 	// Past this the readers' queues only make all late, and what spills from its prefix's home is read in
 	// full: what waits here can still be put in order, and given up when it is too late.
-	if r != nil && (len(r.legs) == 0 || wait <= holdShare*secs(g.slo-g.arrived)) {
-		if _, fits := d.pickWriter(g, nil); fits && d.roomAhead(g) {
+	most := holdShare * secs(g.slo-g.arrived)
+	if whole { // it makes way: chat behind it at its home would look for another, and be read in full there
+		most = makeWay + g.prompt/d.pace(cmp.Or(r, &host{}))
+	}
+	if r != nil && (len(r.legs) == 0 || wait <= most) {
+		if whole || d.writerAhead(g) {
 			d.send(g, r, d.toRead(r, g), func(how Ending, _ int) { d.afterRead(g, r, how) })
 			return
 		}
@@ -220,6 +226,12 @@
 	}
 }
 
+// writerAhead tells whether there is a writer that fits, and room at the writers for what is being read.
+func (d *Dispatcher) writerAhead(g *generation) bool {
+	_, fits := d.pickWriter(g, nil)
+	return fits && d.roomAhead(g)
+}
+
 // answerAt sends to where the answer is made: the state is fetched, or so much of the prompt read there.
 func (d *Dispatcher) answerAt(g *generation, w *host, read float64) {
 	d.send(g, w, read, func(how Ending, note int) { d.afterWrite(g, w, how, note) })
@@ -468,7 +480,7 @@
 	switch {
 	case closed || g.answered:
 		g.answered = true
-		if !l.writes {
+		if !l.writes && !d.Products[g.product].ReadOnly {
 			g.state = h // also a read that was cut off may have ended; letting go is free
 		}
 		d.finish(g, nil)
@@ -552,7 +564,7 @@
 	if d.noConnection.faded(d, 0) < connectHard {
 		return hosts
 	}
-	var some [3]bool
+	var some [4]bool
 	for _, h := range hosts {
 		some[h.role] = some[h.role] || d.open(h)
 	}
@@ -603,6 +615,9 @@
 // pickReader is the prefix's home unless that is busy, else the reader with the least work. Readers whose
 // states could not be taken anywhere in time are left out.
 func (d *Dispatcher) pickReader(g *generation) *host {
+	if d.Products[g.product].ReadOnly { // no state that would have to be taken, nor any text that is kept
+		return d.least(d.candidates(g, Reader, Embedder), func(h *host) float64 { return d.wait(h, g) })
+	}
 	readers := slices.DeleteFunc(d.candidates(g, Reader), func(r *host) bool {
 		if !d.linkJammed(r.cell, g) {
 			return false
--- a/choice/face.go
+++ b/choice/face.go
@@ -46,6 +46,7 @@
 	Reader Role = iota
 	Writer
 	Mixed
+	Embedder // reads what is complete with its read, and nothing else
 )
 
 // Effect says what a repeat of a product's generation would do.
@@ -99,6 +100,7 @@
 	Revenue, LateShare                float64
 	Effect                            Effect
 	Group                             Group
+	ReadOnly                          bool // a generation is complete with its read; it must be idempotent
 }
 
 // Kind is one sort of machine.
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -19,6 +19,8 @@
 			p.SLO, p.Window, p.Revenue, p.TokenSLO = sec, 2*sec, float64(i+1), 50*ms
 			place.Products = append(place.Products, p)
 		}
+		place.Products = append(place.Products, Product{SLO: 2 * sec, Revenue: 1, LateShare: 0.5, ReadOnly: true})
+		place.Kinds = append(place.Kinds, Kind{Embedder, 100000})
 		place.MayCancel, place.WritersRead = shape&1 == 0, shape&2 == 0
 		place.OnRequest = shape&1 == 1
 		place.LegLimit = 2 + int(shape%5)
@@ -89,3 +91,36 @@
 		t.Error("sent to a host of an unknown kind")
 	}
 }
+
+// What is complete with its read needs no writer, leaves no state, and is not sent where chat alone is answered; and hosts
+// that only embed are never sent chat, even where they are all that is left.
+func TestReadOnly(t *testing.T) {
+	place := two(Idempotent)
+	place.Products = append(place.Products, Product{SLO: sec, Revenue: 1, ReadOnly: true})
+	place.Kinds = append(place.Kinds, Kind{Embedder, 100000})
+	for _, c := range []struct {
+		kinds   []KindID
+		product ProductID
+		sent    bool
+	}{{[]KindID{0}, 1, true}, {[]KindID{3}, 1, true}, {[]KindID{2}, 1, true}, {[]KindID{1}, 1, false}, {[]KindID{0}, 0, false}, {[]KindID{3, 1}, 0, false}} {
+		w := newWorld(t, place, 1)
+		w.fleet(2, c.kinds...)
+		g := w.arrive(1, c.product, 2000, 4*sec)
+		if sent := g.out() != nil; sent != c.sent {
+			t.Errorf("hosts %v, product %d: sent %v", c.kinds, c.product, sent)
+		}
+		if !c.sent {
+			continue
+		}
+		w.end(g, Errored, 0)
+		if g.out() == nil || g.out().host == g.legs[0].host {
+			t.Errorf("hosts %v: not read again elsewhere", c.kinds)
+			continue
+		}
+		w.end(g, ReadDone, 0)
+		w.pass(sec)
+		if len(g.answers) > 0 || len(w.d.gens) > 0 || w.d.underway != 0 {
+			t.Errorf("hosts %v: %v, %d gens left, %v under way", c.kinds, g.answers, len(w.d.gens), w.d.underway)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -30,7 +30,7 @@
 	answerTime   float64    // of the median host lately, for each expected token
 	underway     float64    // tokens of the generations that are being read
 	usual        [2]float64 // usual time of a read and to a first token, in Micros
-	warm         [3]float64 // work a second that a warm host of each role was last seen to do
+	warm         [4]float64 // work a second that a warm host of each role was last seen to do
 	typical      []float64  // mean work of a product's generations, in tokens
 	allowed      []float64  // generations that each tenant may still send inside its share
 	refill       Micros
@@ -153,7 +153,7 @@
 	if l.writes {
 		h.held += l.tokens
 		h.streams++
-	} else {
+	} else if !d.Products[l.gen.product].ReadOnly { // what is read only will never ask a writer for room
 		d.underway += l.tokens
 	}
 	h.unread += l.work
@@ -168,7 +168,7 @@
 	if l.writes {
 		h.held = max(h.held-l.tokens, 0)
 		h.streams--
-	} else {
+	} else if !d.Products[l.gen.product].ReadOnly {
 		d.underway = max(d.underway-l.tokens, 0)
 	}
 	l.readOff()
--- a/internal/chat/answer.go
+++ b/internal/chat/answer.go
@@ -36,6 +36,11 @@
 	} `json:"function"`
 }
 
+// RequestID, Streams and Waits are for the front.
+func (a *Answer) RequestID() string { return a.ID }
+func (a *Answer) Streams() bool     { return a.Ask.Stream }
+func (a *Answer) Waits() bool       { return !a.roled }
+
 // Usable tells whether a writer's event is a chunk of an answer at all.
 func Usable(data []byte) bool {
 	return gjson.ValidBytes(data) && gjson.GetBytes(data, "choices").IsArray()
--- a/internal/chat/ask.go
+++ b/internal/chat/ask.go
@@ -1,12 +1,10 @@
-// Package chat is the client front: the chat API of the public OpenAI specification over HTTP/1.1, from bytes to
-// an Ask and from what a writer streams to the one final answer. It decides nothing about where a generation
-// goes, nor whether it is throttled.
+// Package chat is the chat API of the public OpenAI specification: from a body to an Ask, and from what a writer streams
+// to what the client is sent.
 package chat
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -14,35 +12,25 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
-)
-
-// Problem is a request that can't be carried, as the client is told of it.
-type Problem struct {
-	Status  int
-	Type    string
-	Param   string
-	Code    string
-	Message string
-	Never   bool // no repeat can help: client libraries are told not to try
-}
 
-func (p *Problem) Error() string { return p.Message }
+	"plumspindle/internal/front"
+	"plumspindle/internal/http1"
+)
 
-// Body is the error object of the specification.
-func (p *Problem) Body() []byte {
-	quote := func(s string) any {
-		if s == "" {
-			return nil
+// Route is the API's one URL. Public tells whether the operator lets tenants share a text, by its digest.
+func Route(public func(digest string) bool, take func(ask *Ask, who front.Identity, head *http1.Head, to *front.Reply) *front.Problem) (string, front.Route) {
+	return "/v1/chat/completions", front.Route{Method: "POST", Begin: func(head *http1.Head, who front.Identity, to *front.Reply) (front.Sink, *front.Problem) {
+		if p := front.IsJSON(head); p != nil {
+			return nil, p
 		}
-		return s
-	}
-	b, _ := json.Marshal(map[string]any{"error": map[string]any{"message": p.Message, "type": p.Type,
-		"param": quote(p.Param), "code": quote(p.Code)}})
-	return b
-}
-
-func invalid(param, code, format string, args ...any) *Problem {
-	return &Problem{Status: 400, Type: "invalid_request_error", Param: param, Code: code, Message: fmt.Sprintf(format, args...)}
+		return &front.Whole{Do: func(body []byte) *front.Problem {
+			ask, p := ParseAsk(body, who.Space, public)
+			if p != nil {
+				return p
+			}
+			return take(ask, who, head, to)
+		}}, nil
+	}}
 }
 
 // Ask is what a client wants.
@@ -70,23 +58,23 @@
 
 // ParseAsk reads a request's body. Names are kept apart by a space, so that equal texts of two tenants are never taken for
 // one, unless the operator lets a text be shared.
-func ParseAsk(body []byte, space string, public func(digest string) bool) (*Ask, *Problem) {
+func ParseAsk(body []byte, space string, public func(digest string) bool) (*Ask, *front.Problem) {
 	if !gjson.ValidBytes(body) {
-		return nil, invalid("", "invalid_json", "The body is not valid JSON.")
+		return nil, front.Invalid("", "invalid_json", "The body is not valid JSON.")
 	}
 	root := gjson.ParseBytes(body)
 	if !root.IsObject() {
-		return nil, invalid("", "invalid_json", "The body must be a JSON object.")
+		return nil, front.Invalid("", "invalid_json", "The body must be a JSON object.")
 	}
 	a := &Ask{Rest: make([]byte, 0, len(body))}
-	var trouble *Problem
+	var trouble *front.Problem
 	var messages gjson.Result
 	var cacheKey string
 	seen := map[string]bool{}
 	root.ForEach(func(key, v gjson.Result) bool {
 		name := key.String()
 		if seen[name] {
-			trouble = invalid(name, "duplicate_parameter", "The parameter %q is given twice.", name)
+			trouble = front.Invalid(name, "duplicate_parameter", "The parameter %q is given twice.", name)
 			return false
 		}
 		seen[name] = true
@@ -111,11 +99,11 @@
 	case trouble != nil:
 		return nil, trouble
 	case a.Model == "":
-		return nil, invalid("model", "missing_required_parameter", "Missing required parameter: 'model'.")
+		return nil, front.Invalid("model", "missing_required_parameter", "Missing required parameter: 'model'.")
 	case !seen["messages"]:
-		return nil, invalid("messages", "missing_required_parameter", "Missing required parameter: 'messages'.")
+		return nil, front.Invalid("messages", "missing_required_parameter", "Missing required parameter: 'messages'.")
 	case seen["stream_options"] && !a.Stream:
-		return nil, invalid("stream_options", "", "'stream_options' is only allowed when 'stream' is true.")
+		return nil, front.Invalid("stream_options", "", "'stream_options' is only allowed when 'stream' is true.")
 	}
 	if trouble := a.messages(messages, space, cacheKey, public); trouble != nil {
 		return nil, trouble
@@ -124,9 +112,9 @@
 }
 
 // member takes one member of the request that the router reads, or refuses.
-func (a *Ask) member(name string, v gjson.Result) *Problem {
-	wrong := func(want string) *Problem {
-		return invalid(name, "invalid_type", "Invalid type for '%s': expected %s, but got %s instead.", name, want,
+func (a *Ask) member(name string, v gjson.Result) *front.Problem {
+	wrong := func(want string) *front.Problem {
+		return front.Invalid(name, "invalid_type", "Invalid type for '%s': expected %s, but got %s instead.", name, want,
 			strings.ToLower(v.Type.String()))
 	}
 	if v.Type == gjson.Null {
@@ -164,42 +152,42 @@
 			return wrong("an integer")
 		}
 		if v.Num < 1 {
-			return invalid(name, "integer_below_min_value", "Invalid '%s': expected a value >= 1.", name)
+			return front.Invalid(name, "integer_below_min_value", "Invalid '%s': expected a value >= 1.", name)
 		}
 		if a.Most == 0 || name == "max_completion_tokens" {
 			a.Most = int(v.Num)
 		}
 	case "n":
 		if v.Num != 1 {
-			return invalid(name, "unsupported_value", "Only one answer a request is served: 'n' must be 1.")
+			return front.Invalid(name, "unsupported_value", "Only one answer a request is served: 'n' must be 1.")
 		}
 	case "modalities":
 		for _, m := range v.Array() {
 			if m.String() != "text" {
-				return invalid(name, "unsupported_value", "Only the modality 'text' is served.")
+				return front.Invalid(name, "unsupported_value", "Only the modality 'text' is served.")
 			}
 		}
 	case "audio":
-		return invalid(name, "unsupported_parameter", "Audio is not served.")
+		return front.Invalid(name, "unsupported_parameter", "Audio is not served.")
 	case "kv_transfer_params", "cache_salt":
-		return invalid(name, "unknown_parameter", "Unknown parameter: '%s'.", name)
+		return front.Invalid(name, "unknown_parameter", "Unknown parameter: '%s'.", name)
 	}
 	return nil
 }
 
 // messages checks the conversation and draws the names from it: the shared text is what the leading system
 // and developer messages say, the session the stated key or else how the conversation begins.
-func (a *Ask) messages(list gjson.Result, space, cacheKey string, public func(string) bool) *Problem {
+func (a *Ask) messages(list gjson.Result, space, cacheKey string, public func(string) bool) *front.Problem {
 	shared, begins := sha256.New(), xxhash.New()
 	_, _ = begins.WriteString(space + "\x00")
-	var trouble *Problem
+	var trouble *front.Problem
 	i, leading, begun, text, sharedText := 0, true, false, 0, 0
 	list.ForEach(func(_, m gjson.Result) bool {
 		at := fmt.Sprintf("messages[%d]", i)
 		i++
 		role := m.Get("role").String()
 		if !m.IsObject() || !slices.Contains(roles, role) {
-			trouble = invalid(at+".role", "invalid_value", "Invalid value: '%.40s'. Supported values are: %s.", role,
+			trouble = front.Invalid(at+".role", "invalid_value", "Invalid value: '%.40s'. Supported values are: %s.", role,
 				strings.Join(roles, ", "))
 			return false
 		}
@@ -226,16 +214,16 @@
 				case "refusal":
 					take(part.Get("refusal").String())
 				default:
-					trouble = invalid(fmt.Sprintf("%s.content[%d].type", at, j), "unsupported_value",
+					trouble = front.Invalid(fmt.Sprintf("%s.content[%d].type", at, j), "unsupported_value",
 						"Only parts of type 'text' are served, not '%.40s'.", part.Get("type").String())
 					return false
 				}
 			}
 		case content.Exists() && content.Type != gjson.Null:
-			trouble = invalid(at+".content", "invalid_type", "The content must be a string or an array of parts.")
+			trouble = front.Invalid(at+".content", "invalid_type", "The content must be a string or an array of parts.")
 			return false
 		case role != "assistant":
-			trouble = invalid(at+".content", "missing_required_parameter", "The message has no content.")
+			trouble = front.Invalid(at+".content", "missing_required_parameter", "The message has no content.")
 			return false
 		}
 		size += len(m.Get("tool_calls").Raw)
@@ -251,7 +239,7 @@
 	case trouble != nil:
 		return trouble
 	case i == 0:
-		return invalid("messages", "empty_array", "Invalid 'messages': empty array.")
+		return front.Invalid("messages", "empty_array", "Invalid 'messages': empty array.")
 	}
 	a.Tokens, a.SharedTokens = (text+tokenBytes-1)/tokenBytes, sharedText/tokenBytes
 	a.Salt = space
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -262,12 +262,21 @@
 	}
 	for i, p := range m.Products {
 		at := fmt.Sprintf("products[%d]", i)
-		positive(at, map[string]float64{"slo_ms": float64(p.SloMs), "token_slo_ms": float64(p.TokenSloMs),
-			"time_limit_ms": float64(p.TimeLimitMs), "revenue": p.Revenue, "most_tokens": float64(p.MostTokens)})
+		wanted := map[string]float64{"slo_ms": float64(p.SloMs), "time_limit_ms": float64(p.TimeLimitMs), "revenue": p.Revenue}
+		if p.Form == pb.Product_CHAT {
+			wanted["token_slo_ms"], wanted["most_tokens"] = float64(p.TokenSloMs), float64(p.MostTokens)
+		}
+		positive(at, wanted)
 		share(at+".late_share", p.LateShare)
 		if p.Effect == pb.Product_EFFECT_UNSPECIFIED {
 			r.wrong(at+".effect", "must be stated: IDEMPOTENT, DEDUPLICATED or SIDE_EFFECTING")
 		}
+		if p.Form != pb.Product_CHAT && p.Effect != pb.Product_IDEMPOTENT {
+			r.wrong(at+".effect", "must be IDEMPOTENT: what is only read may always be read again")
+		}
+		if (p.Dimensions > 0) != (p.Form == pb.Product_EMBEDDING) || p.Dimensions > 16384 {
+			r.wrong(at+".dimensions", "is for products of form EMBEDDING, and those must have 1 to 16384")
+		}
 		if p.Intent != pb.Product_WITH_READ && p.Effect == pb.Product_IDEMPOTENT {
 			r.wrong(at+".intent", "is for products that may not simply run again; nothing is written down of an IDEMPOTENT one")
 		}
@@ -292,6 +301,7 @@
 			writes = true
 		case pb.Kind_MIXED:
 			reads, writes = true, true
+		case pb.Kind_EMBEDDER: // serves no chat; readers do what it does
 		default:
 			r.wrong(at+".role", "must be stated: READER, WRITER or MIXED")
 		}
@@ -338,6 +348,11 @@
 			r.wrong("dispatching.leg_limit", "must be 2 at least: a read and a write")
 		}
 	}
+	if b := m.Batches; b != nil {
+		if b.BodyMost > 1<<30 || b.Window > 1<<30 || b.PartInputs > 4096 || b.FixedLimit > 1<<20 {
+			r.wrong("batches", "a bound is beyond what can be kept: body_most and window are 1 GiB at most, part_inputs 4096, fixed_limit 1048576")
+		}
+	}
 	if m.Doors == nil {
 		r.wrong("doors", "is missing")
 	} else {
@@ -371,7 +386,7 @@
 const tick = 4 * 1000 // µs; the module gives up two of them before a client's limit
 
 var roles = map[pb.Kind_Role]choice.Role{pb.Kind_READER: choice.Reader, pb.Kind_WRITER: choice.Writer,
-	pb.Kind_MIXED: choice.Mixed}
+	pb.Kind_MIXED: choice.Mixed, pb.Kind_EMBEDDER: choice.Embedder}
 var effects = map[pb.Product_Effect]choice.Effect{pb.Product_IDEMPOTENT: choice.Idempotent,
 	pb.Product_DEDUPLICATED: choice.Deduplicated, pb.Product_SIDE_EFFECTING: choice.SideEffecting}
 var groups = map[pb.Product_Group]choice.Group{pb.Product_ALL_HOSTS: choice.AllHosts,
@@ -390,7 +405,7 @@
 	for _, p := range d.Products {
 		place.Products = append(place.Products, choice.Product{SLO: micros(p.SloMs), SLOPer1000: micros(p.SloMsPer_1000Tokens),
 			TokenSLO: micros(p.TokenSloMs), Window: micros(p.WindowMs), Revenue: p.Revenue, LateShare: p.LateShare,
-			Effect: effects[p.Effect], Group: groups[p.Group]})
+			Effect: effects[p.Effect], Group: groups[p.Group], ReadOnly: p.Form != pb.Product_CHAT})
 	}
 	for _, k := range d.Kinds {
 		place.Kinds = append(place.Kinds, choice.Kind{Role: roles[k.Role], Memory: float64(k.MemoryTokens)})
@@ -416,3 +431,18 @@
 
 // ErrNoFleet is for what needs the stand-in fleet.
 var ErrNoFleet = errors.New("the deployment describes no stand-in fleet (field fleet)")
+
+// Batch is what calls with many inputs are held to, with what is not stated filled in.
+func (d Deployment) Batch() *pb.Batches {
+	b := &pb.Batches{}
+	if d.Batches != nil {
+		b = proto.Clone(d.Batches).(*pb.Batches)
+	}
+	for at, usual := range map[*uint32]uint32{&b.PartTokens: 256, &b.PartInputs: 16, &b.InputsMost: 2048, &b.DocumentsMost: 1000,
+		&b.InputTokensMost: 8192, &b.BodyMost: 64 << 20, &b.Window: 4 << 20} {
+		if *at == 0 {
+			*at = usual
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/dispatch/batches.go
@@ -0,0 +1,538 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"plumspindle/choice"
+	"plumspindle/internal/batch"
+	"plumspindle/internal/chat"
+	"plumspindle/internal/deployment/pb"
+	"plumspindle/internal/embed"
+	"plumspindle/internal/engine"
+	"plumspindle/internal/front"
+	"plumspindle/internal/http1"
+	"plumspindle/internal/path"
+	"plumspindle/internal/seam"
+	"plumspindle/internal/tenancy"
+	"plumspindle/internal/vectors"
+)
+
+const (
+	partAnswer  = 32 << 20 // bytes of a host's answer to a part
+	cachesMost  = 64       // tenants' caches at once; the one that was not used for longest makes way
+	partHosts   = 2        // hosts that fail on one part before it is halved, or given up
+	queuedMost  = 4        // parts of one tenant that may wait for its turn at the gate
+	batchMargin = 20 * seam.Millisecond
+)
+
+// batches is all calls with many inputs of one dispatcher. Their parts are generations like any other; which of them goes
+// next, and how many may be out, is package batch's.
+type batches struct {
+	pb      *pb.Batches
+	limiter *batch.Limiter
+	turns   []*batcher // tenants that have calls, the next one first
+	calls   int
+	caches  []*tenantCache // the one used last comes last
+}
+
+// batcher is one tenant's calls; they take turns too.
+type batcher struct {
+	seat   *seat
+	calls  []*batchCall
+	queued int
+}
+
+type tenantCache struct {
+	name string
+	*vectors.Cache
+}
+
+// batchCall is one client's.
+type batchCall struct {
+	x          *Dispatcher
+	ask        *embed.Ask
+	who        front.Identity
+	to         *front.Reply
+	clientID   string
+	product    choice.ProductID
+	form       pb.Product_Form
+	dimensions int
+	deadline   seam.Micros
+	limit      seam.Timer
+	wake       seam.Timer
+	parts      *batch.Call
+	parted     int // inputs that are in parts
+	whole      bool
+	home       *batcher
+	out        map[batch.PartNo]*gen
+	answer     embed.Answer
+	cache      *vectors.Cache
+	ended      bool
+}
+
+// part ties a generation to the call that it is a part of.
+type part struct {
+	call   *batchCall
+	no     batch.PartNo
+	inputs []int
+	result embed.Result
+	sent   seam.Micros // to the module
+	queued bool
+	broken int  // hosts that failed on it
+	bad    bool // a host says that an input is no good
+}
+
+// batchRoute is one of the APIs whose answers are complete with the read.
+func (x *Dispatcher) batchRoute(kind embed.Kind, form pb.Product_Form) front.Route {
+	b := x.batches.pb
+	bounds := embed.Bounds{Inputs: int(b.InputsMost), InputTokens: int(b.InputTokensMost), Body: int(b.BodyMost), Window: int(b.Window)}
+	if kind == embed.Rerank {
+		bounds.Inputs = int(b.DocumentsMost)
+	}
+	return front.Route{Method: "POST", Body: bounds.Body, Begin: func(head *http1.Head, who front.Identity, to *front.Reply) (front.Sink, *front.Problem) {
+		if p := front.IsJSON(head, "gzip", "zstd"); p != nil {
+			return nil, p
+		}
+		limit, p := number(head, limitField, 1)
+		if p != nil {
+			return nil, p
+		}
+		c := &batchCall{x: x, who: who, to: to, form: form, clientID: head.Get("x-client-request-id"), deadline: limit, out: map[batch.PartNo]*gen{}}
+		c.ask = embed.NewAsk(kind, head.Get("Content-Encoding"), bounds, c, to)
+		to.OnLeft = func() { x.loop.Later(c.left) }
+		return c.ask, nil
+	}}
+}
+
+// Begin: all is known that a part needs.
+func (c *batchCall) Begin() *front.Problem {
+	x, a := c.x, c.ask
+	product, known := x.products[a.Model]
+	if !known {
+		return front.NoModel(a.Model)
+	}
+	p := x.Products[product]
+	if p.Form != c.form {
+		return front.Invalid("model", "unsupported_value", "The model '%.60s' is not served by this API.", a.Model)
+	}
+	if c.dimensions = int(p.Dimensions); a.Dimensions > 0 {
+		if a.Dimensions > c.dimensions {
+			return front.Invalid("dimensions", "integer_above_max_value", "The model has %d dimensions.", c.dimensions)
+		}
+		c.dimensions = a.Dimensions
+	}
+	s := x.seats[c.who.Tenant]
+	if s == nil || !c.who.Serves {
+		return &front.Problem{Status: 403, Type: "permission_error", Code: "tenant_suspended", Never: true, Message: "This account is suspended."}
+	}
+	if x.batches.calls >= int(x.Doors.OpenMost) {
+		x.AtDoor++
+		return &front.Problem{Status: 429, Type: "rate_limit_error", Code: "throttled", Message: "The service is busy; nothing was run. Please try again."}
+	}
+	now := x.loop.Now()
+	span := seam.Micros(p.TimeLimitMs) * seam.Millisecond
+	if c.deadline > 0 {
+		span = min(span, c.deadline)
+	}
+	c.product, c.deadline = product, now+span
+	c.limit = x.loop.After(max(span-batchMargin, 0), c.late)
+	c.parts = batch.NewCall(nil, batch.Bounds{})
+	if x.batches.pb.Cache > 0 && c.form == pb.Product_EMBEDDING {
+		c.cache = x.cacheOf(c.who.Space, c.dimensions)
+	}
+	x.batches.calls++
+	x.Taken++
+	c.home = x.batches.of(s)
+	c.home.calls = append(c.home.calls, c)
+	return nil
+}
+
+// Added: further inputs have come, or all have.
+func (c *batchCall) Added(whole bool) *front.Problem {
+	if c.ended {
+		return nil
+	}
+	c.whole = c.whole || whole
+	n := len(c.ask.Inputs)
+	c.answer.Vectors = append(c.answer.Vectors, make([][]byte, n-len(c.answer.Vectors))...)
+	c.answer.Scores = append(c.answer.Scores, make([]float64, n-len(c.answer.Scores))...)
+	b := batch.Bounds{Tokens: int(c.x.batches.pb.PartTokens), Inputs: int(c.x.batches.pb.PartInputs)}
+	for c.parted < n {
+		// What is cached is there already; what is not goes out, neighbours together.
+		from := c.parted
+		var tokens []int
+		for ; c.parted < n; c.parted++ {
+			if c.cached(c.parted) {
+				break
+			}
+			tokens = append(tokens, c.ask.Tokens([]int{c.parted}))
+		}
+		c.parts.Add(from, tokens, b)
+		for c.parted < n && c.cached(c.parted) {
+			c.parted++
+		}
+	}
+	c.x.pump()
+	c.finished()
+	return nil
+}
+
+func (c *batchCall) cached(i int) bool {
+	if c.cache == nil {
+		return false
+	}
+	if c.answer.Vectors[i] != nil {
+		return true
+	}
+	v, some := c.cache.Get(c.ask.CacheKey(i, c.dimensions))
+	if some {
+		c.answer.Vectors[i] = slices.Clone(v)
+		c.ask.Drop(i)
+	}
+	return some
+}
+
+// cacheOf is a tenant's own cache for vectors of a size; no two tenants share one.
+func (x *Dispatcher) cacheOf(space string, dimensions int) *vectors.Cache {
+	b := &x.batches
+	name := strconv.Itoa(dimensions) + " " + space
+	at := slices.IndexFunc(b.caches, func(t *tenantCache) bool { return t.name == name })
+	var t *tenantCache
+	if at >= 0 {
+		t = b.caches[at]
+		b.caches = slices.Delete(b.caches, at, at+1)
+	} else {
+		if len(b.caches) >= cachesMost {
+			b.caches = slices.Delete(b.caches, 0, 1)
+		}
+		t = &tenantCache{name, vectors.New(4*dimensions, int(b.pb.Cache))}
+	}
+	b.caches = append(b.caches, t)
+	return t.Cache
+}
+
+func (b *batches) of(s *seat) *batcher {
+	for _, t := range b.turns {
+		if t.seat == s {
+			return t
+		}
+	}
+	t := &batcher{seat: s}
+	b.turns = append(b.turns, t)
+	return t
+}
+
+// pump sends parts as far as the limit lets them, tenants in turn, and each tenant's calls in turn.
+func (x *Dispatcher) pump() {
+	b := &x.batches
+	now := x.loop.Now()
+	for idle := 0; idle < len(b.turns) && b.limiter.May(); {
+		t := b.turns[0]
+		b.turns = append(b.turns[1:], t)
+		c := t.next(now)
+		if c == nil || t.queued >= queuedMost {
+			idle++
+			continue
+		}
+		idle = 0
+		c.send(now)
+	}
+}
+
+func (t *batcher) next(now seam.Micros) *batchCall {
+	for range t.calls {
+		c := t.calls[0]
+		t.calls = append(t.calls[1:], c)
+		if !c.ended && c.parts.Ready(now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// send makes a generation of the call's next part.
+func (c *batchCall) send(now seam.Micros) {
+	x, s := c.x, c.home.seat
+	no, inputs := c.parts.Send()
+	tokens := c.ask.Tokens(inputs)
+	t, v := x.gate.Ask(now, s.id, c.who.Key, c.ask.Model, tokens, 0)
+	if v.Reason != tenancy.None {
+		x.Refused++
+		after := v.After
+		if after == 0 {
+			after = 100 * seam.Millisecond
+		}
+		// A limit delays a call that has begun; one of which nothing has gone out yet is refused as chat would be.
+		if v.Reason == tenancy.PromptTooLarge || v.Reason == tenancy.NotServed || !c.begun() {
+			c.parts.Failed(now, no, batch.Busy, after)
+			x.loop.Later(func() { c.refuse(v) })
+			return
+		}
+		c.back(no, batch.Busy, after)
+		return
+	}
+	x.lastGen++
+	g := &gen{id: x.lastGen, ask: &chat.Ask{Model: c.ask.Model, Tokens: tokens}, product: c.product, deadline: c.deadline, taken: now, clientID: c.clientID,
+		ticket: t, seat: s, part: &part{call: c, no: no, inputs: inputs, sent: now}}
+	t.Anything = g
+	x.gens[g.id] = g
+	c.out[no] = g
+	if v.Pass {
+		x.batches.limiter.Sent()
+		g.State = path.Held
+		x.arrived(g)
+		return
+	}
+	g.part.queued = true
+	c.home.queued++
+	x.wait(g)
+}
+
+// begun tells whether anything of the call has gone out.
+func (c *batchCall) begun() bool {
+	return len(c.out) > 0 || c.answer.Tokens > 0 || c.parts.Repeats > 0 || c.parts.Splits > 0
+}
+
+// admitted: a part's turn at the gate has come.
+func (p *part) admitted(now seam.Micros) {
+	if p.queued {
+		p.queued = false
+		p.call.home.queued--
+		p.call.x.batches.limiter.Sent()
+		p.sent = now
+	}
+}
+
+// carryPart makes a part's leg.
+func (x *Dispatcher) carryPart(g *gen, name string, w what, hear engine.Hearer) {
+	p := g.part
+	c := p.call
+	to, body := c.ask.Part(p.inputs, c.dimensions)
+	inputs := len(p.inputs)
+	g.leg = x.engine.Whole(w.host, name, g.clientID, to, body, partAnswer, w.allow, func(body []byte) engine.Outcome {
+		r, err := c.ask.ReadPart(body, inputs, c.dimensions)
+		if err != nil {
+			return engine.Outcome{How: choice.Errored, Why: "an answer that is not what was asked for: " + err.Error()}
+		}
+		p.result = r
+		return engine.Outcome{How: choice.ReadDone, Why: "read"}
+	}, hear)
+}
+
+// answered takes the final answer of a part's generation.
+func (p *part) answered(g *gen, a path.Action, comeBack seam.Micros) {
+	c := p.call
+	x := c.x
+	now := x.loop.Now()
+	delete(c.out, p.no)
+	if p.queued {
+		p.queued = false
+		c.home.queued--
+	} else if c.ended || p.bad {
+		x.batches.limiter.Taken()
+	} else {
+		x.batches.limiter.Back(now, g.ask.Tokens, now-p.sent, a == path.AnswerStreamed)
+	}
+	if c.ended {
+		x.loop.Later(x.pump)
+		return
+	}
+	if a != path.AnswerStreamed {
+		why := batch.Busy
+		switch {
+		case p.bad:
+			why = batch.Invalid
+		case p.broken > 0:
+			why = batch.Broken
+		}
+		c.back(p.no, why, comeBack)
+		return
+	}
+	c.parts.Done(p.no)
+	g.prompt = max(p.result.Tokens, 1)
+	g.tokens = 0
+	c.answer.Tokens += g.prompt
+	for n, i := range p.inputs {
+		if c.ask.Kind == embed.Rerank {
+			c.answer.Scores[i] = p.result.Scores[n]
+		} else {
+			c.answer.Vectors[i] = p.result.Vectors[n]
+			if c.cache != nil {
+				c.cache.Put(c.ask.CacheKey(i, c.dimensions), p.result.Vectors[n])
+			}
+		}
+	}
+	inputs := p.inputs
+	x.loop.Later(func() { // never within the module's own call
+		for _, i := range inputs {
+			if problem := c.ask.Drop(i); problem != nil {
+				c.fail(problem)
+				return
+			}
+		}
+		x.pump()
+		c.finished()
+	})
+}
+
+// back takes a part that did not come back with its results.
+func (c *batchCall) back(no batch.PartNo, why batch.Failure, after seam.Micros) {
+	x := c.x
+	if c.parts.Failed(x.loop.Now(), no, why, after) == batch.GaveUp {
+		x.loop.Later(c.gaveUp)
+		return
+	}
+	x.loop.Later(func() {
+		c.sleep()
+		x.pump()
+	})
+}
+
+// sleep sets the time at which the next part that waits may go.
+func (c *batchCall) sleep() {
+	if c.wake != nil {
+		c.wake.Stop()
+		c.wake = nil
+	}
+	if at, some := c.parts.WakesAt(); some && !c.ended {
+		c.wake = c.x.loop.After(max(at-c.x.loop.Now(), 0)+1, func() {
+			c.parts.Ready(c.x.loop.Now())
+			c.sleep()
+			c.x.pump()
+		})
+	}
+}
+
+// finished answers, once all has come and all is back.
+func (c *batchCall) finished() {
+	if c.ended || !c.whole || c.parts.Open() > 0 {
+		return
+	}
+	c.answer.Ask, c.answer.ID = c.ask, c.x.answerID(c.x.lastGen)
+	c.x.Streamed++
+	c.meter(path.AnswerStreamed)
+	c.end()
+	c.to.Pour("application/json", c.answer.Next, "x-request-id", c.answer.ID)
+}
+
+// end: nothing more is sent, what is out is taken back, and the call is forgotten.
+func (c *batchCall) end() {
+	x := c.x
+	c.ended = true
+	c.ask.Close()
+	if c.home == nil {
+		return
+	}
+	c.parts.End()
+	for _, t := range []seam.Timer{c.limit, c.wake} {
+		if t != nil {
+			t.Stop()
+		}
+	}
+	c.home.calls = slices.DeleteFunc(c.home.calls, func(o *batchCall) bool { return o == c })
+	if len(c.home.calls) == 0 {
+		x.batches.turns = slices.DeleteFunc(x.batches.turns, func(t *batcher) bool { return t == c.home })
+	}
+	x.batches.calls--
+	var out []batch.PartNo
+	for no := range c.out {
+		out = append(out, no)
+	}
+	slices.Sort(out)
+	for _, no := range out {
+		if g := c.out[no]; g != nil {
+			x.take(g, path.ClientLeft)
+		}
+	}
+	x.loop.Later(x.left)
+}
+
+func (c *batchCall) meter(final path.Action) {
+	u := tenancy.Used{Tenant: c.who.Tenant, Product: c.ask.Model, Day: tenancy.Day(c.x.loop.Now()), Taken: 1}
+	switch final {
+	case path.AnswerStreamed:
+		u.Streamed = 1
+	case path.AnswerThrottled:
+		u.Throttled = 1
+	case path.AnswerTerminated:
+		u.Terminated = 1
+	default:
+		u.Left = 1
+	}
+	c.x.meter.Add(u)
+}
+
+// left: its client waits no more.
+func (c *batchCall) left() {
+	if c.ended {
+		return
+	}
+	if c.x.Left++; c.home != nil {
+		c.meter(path.Forget)
+	}
+	c.end()
+}
+
+// fail answers a call whose body shows a problem after parts of it have gone out.
+func (c *batchCall) fail(p *front.Problem) {
+	if c.ended {
+		return
+	}
+	c.x.Terminated++
+	c.meter(path.AnswerTerminated)
+	c.end()
+	c.to.Refuse(p)
+}
+
+// late: its client's time is up.
+func (c *batchCall) late() {
+	if c.ended {
+		return
+	}
+	c.terminate(fmt.Sprintf("The call was not complete within the client's time: %d parts are missing.", c.parts.Open()), true)
+}
+
+// gaveUp: a part has failed for good.
+func (c *batchCall) gaveUp() {
+	if c.ended {
+		return
+	}
+	if i := c.parts.Blame; i >= 0 {
+		at := slices.Index(c.ask.Order, int32(i))
+		name := "input"
+		if c.ask.Kind == embed.Rerank {
+			name = "documents"
+		}
+		c.fail(&front.Problem{Status: 422, Type: "invalid_request_error", Param: fmt.Sprintf("%s[%d]", name, at), Code: "input_not_served", Never: true,
+			Message: fmt.Sprintf("'%s[%d]' could not be read; the others could.", name, at)})
+		return
+	}
+	c.terminate("Some of the call's inputs could not be read.", true)
+}
+
+func (c *batchCall) terminate(why string, again bool) {
+	c.x.Terminated++
+	c.meter(path.AnswerTerminated)
+	c.end()
+	if !c.to.Done() {
+		c.to.Terminated(again, why)
+	}
+}
+
+// refuse answers a call of which nothing has gone out and that its tenant's limits don't let in.
+func (c *batchCall) refuse(v tenancy.Verdict) {
+	if c.ended {
+		return
+	}
+	if v.Reason == tenancy.PromptTooLarge {
+		c.fail(&front.Problem{Status: 400, Type: "invalid_request_error", Param: "input", Code: "prompt_too_large",
+			Message: "An input has more tokens than this account may ask for."})
+		return
+	}
+	c.x.Throttled++
+	c.meter(path.AnswerThrottled)
+	c.end()
+	c.to.Refused(v.Reason.String(), v.After)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,10 +20,13 @@
 	"github.com/tidwall/gjson"
 
 	"plumspindle/choice"
+	"plumspindle/internal/batch"
 	"plumspindle/internal/chat"
 	"plumspindle/internal/deployment"
 	"plumspindle/internal/deployment/pb"
+	"plumspindle/internal/embed"
 	"plumspindle/internal/engine"
+	"plumspindle/internal/front"
 	"plumspindle/internal/http1"
 	"plumspindle/internal/path"
 	"plumspindle/internal/repeat"
@@ -69,6 +72,7 @@
 
 // Dispatcher is one.
 type Dispatcher struct {
+	batches batches
 	deployment.Deployment
 	loop     seam.Loop
 	post     Post
@@ -76,7 +80,7 @@
 	place    choice.Deployment
 	engine   *engine.Engine
 	list     *roster.Client
-	front    *chat.Front
+	front    *front.Front
 	gens     map[choice.GenID]*gen
 	lastGen  choice.GenID
 	products map[string]choice.ProductID
@@ -107,7 +111,7 @@
 	ask      *chat.Ask
 	product  choice.ProductID
 	answerID string
-	replies  []*chat.Reply // of its client, and of those that came with the same key
+	replies  []*front.Reply // of its client, and of those that came with the same key
 	clientID string
 	legs     choice.LegNo // sent so far
 	leg      *engine.Leg  // the last one
@@ -122,6 +126,7 @@
 	ran      bool          // some write of it may have run
 	ranFirst bool          // one before the last
 	intent   intent
+	part     *part // of a call with many inputs; nil: it is chat
 	seat     *seat
 	ticket   *tenancy.Ticket
 	taken    seam.Micros
@@ -150,11 +155,13 @@
 	for i, p := range d.Products {
 		x.products[p.Name] = choice.ProductID(i)
 	}
+	x.batches.pb = d.Batch()
+	x.batches.limiter = batch.NewLimiter(int(x.batches.pb.FixedLimit))
 	bounds := http1.Usual
 	bounds.Head, bounds.Body = int(d.Doors.HeadMost), int(d.Doors.BodyMost)
-	patience := chat.UsualPatience
+	patience := front.UsualPatience
 	patience.Message, patience.Stall, patience.Unsent = ms(d.Doors.MessageMs), ms(d.Doors.StallMs), int(d.Doors.UnsentMost)
-	x.front = chat.NewFront(loop, x, bounds, patience)
+	x.front = front.New(loop, x, x.routes(), bounds, patience)
 	x.repeats = repeat.NewBook(int(d.Doors.RememberMost), int(d.Doors.RememberBytes), answerKept)
 	x.recall()
 	x.place = d.Module()
@@ -163,7 +170,6 @@
 	if err := x.seatTenants(); err != nil {
 		return nil, err
 	}
-	x.front.Public = x.directory.Public
 	x.list = roster.NewClient(loop, post.Seed, post.Roster, post.Name)
 	x.list.News = x.news
 	x.list.Log = func(line string) { post.Log.Warn().Msg(line) }
@@ -174,8 +180,20 @@
 	return x, nil
 }
 
+// routes are the client's APIs.
+func (x *Dispatcher) routes() map[string]front.Route {
+	all := map[string]front.Route{}
+	list, many, below, one := front.Models(x.Models)
+	all[list], all[below] = many, one
+	chatAt, r := chat.Route(func(digest string) bool { return x.directory.Public(digest) }, x.Generate)
+	all[chatAt] = r
+	all["/v1/embeddings"] = x.batchRoute(embed.Embeddings, pb.Product_EMBEDDING)
+	all["/v1/rerank"] = x.batchRoute(embed.Rerank, pb.Product_RERANK)
+	return all
+}
+
 // Front is the client's side.
-func (x *Dispatcher) Front() *chat.Front { return x.front }
+func (x *Dispatcher) Front() *front.Front { return x.front }
 
 // Leave takes nothing new and calls done once nothing runs any more.
 func (x *Dispatcher) Leave(done func()) {
@@ -189,7 +207,7 @@
 }
 
 func (x *Dispatcher) left() {
-	if x.leaving != nil && len(x.gens) == 0 {
+	if x.leaving != nil && len(x.gens) == 0 && x.batches.calls == 0 {
 		done := x.leaving
 		x.leaving = nil
 		x.engine.Close()
@@ -289,6 +307,9 @@
 	return names
 }
 
+// chatLate is the part of its SLO time after which chat that begins is taken to be late: batches then make room.
+const chatLate = 0.5
+
 // Fields of a request's head that are the router's own.
 const (
 	limitField = "x-time-limit-ms" // a client gives up sooner than its product's time limit
@@ -299,26 +320,29 @@
 )
 
 // number reads a field that holds a number of milliseconds; 0 where there is none.
-func number(head *http1.Head, field string, least uint64) (seam.Micros, *chat.Problem) {
+func number(head *http1.Head, field string, least uint64) (seam.Micros, *front.Problem) {
 	text := head.Get(field)
 	if text == "" {
 		return 0, nil
 	}
 	ms, err := strconv.ParseUint(text, 10, 31)
 	if err != nil || ms < least {
-		return 0, &chat.Problem{Status: 400, Type: "invalid_request_error", Param: field, Code: "invalid_value",
+		return 0, &front.Problem{Status: 400, Type: "invalid_request_error", Param: field, Code: "invalid_value",
 			Message: fmt.Sprintf("The field %s must be a number of milliseconds, %d at least.", field, least)}
 	}
 	return seam.Micros(ms) * seam.Millisecond, nil
 }
 
 // Generate takes a generation.
-func (x *Dispatcher) Generate(ask *chat.Ask, who chat.Identity, head *http1.Head, to *chat.Reply) *chat.Problem {
+func (x *Dispatcher) Generate(ask *chat.Ask, who front.Identity, head *http1.Head, to *front.Reply) *front.Problem {
 	product, known := x.products[ask.Model]
 	if !known {
-		return chat.NoModel(ask.Model)
+		return front.NoModel(ask.Model)
 	}
 	p := x.Products[product]
+	if p.Form != pb.Product_CHAT {
+		return front.Invalid("model", "unsupported_value", "The model '%.60s' is not served by this API.", ask.Model)
+	}
 	now := x.loop.Now()
 	limit, problem := number(head, limitField, 1)
 	if problem != nil {
@@ -344,7 +368,7 @@
 	g.answerID = x.answerID(g.id)
 	if key := head.Get(keyField); key != "" && p.Effect != pb.Product_IDEMPOTENT {
 		if len(key) > keyMost {
-			return &chat.Problem{Status: 400, Type: "invalid_request_error", Param: keyField, Code: "invalid_value",
+			return &front.Problem{Status: 400, Type: "invalid_request_error", Param: keyField, Code: "invalid_value",
 				Message: fmt.Sprintf("The Idempotency-Key is longer than %d bytes.", keyMost)}
 		}
 		if answered, problem := x.again(g, who.Space, key, to); answered || problem != nil {
@@ -378,7 +402,7 @@
 }
 
 // attach makes a reply one that the generation's answer goes to.
-func (x *Dispatcher) attach(g *gen, to *chat.Reply) {
+func (x *Dispatcher) attach(g *gen, to *front.Reply) {
 	to.Shape(&chat.Answer{ID: g.answerID, Model: g.ask.Model, Created: int64(x.loop.Now() / seam.Second), Ask: g.ask})
 	g.replies = append(g.replies, to)
 	to.OnLeft = func() { x.loop.Later(func() { x.clientLeft(g, to) }) } // never within the module's own call
@@ -386,7 +410,7 @@
 }
 
 // heartbeat keeps a stream that has nothing to say yet from being taken for dead by what stands between.
-func (x *Dispatcher) heartbeat(g *gen, to *chat.Reply, every seam.Micros) {
+func (x *Dispatcher) heartbeat(g *gen, to *front.Reply, every seam.Micros) {
 	g.beat = x.loop.After(every, func() {
 		if to.Beat() {
 			x.heartbeat(g, to, every)
@@ -395,7 +419,7 @@
 }
 
 // again finds what a request with a key is answered with, where it is not to run.
-func (x *Dispatcher) again(g *gen, space, key string, to *chat.Reply) (answered bool, problem *chat.Problem) {
+func (x *Dispatcher) again(g *gen, space, key string, to *front.Reply) (answered bool, problem *front.Problem) {
 	digest := sha256.Sum256([]byte(space + "\x00" + g.ask.Model + "\x00" + key))
 	shape := fmt.Sprint(g.ask.Stream, g.ask.IncludeUsage, g.ask.Most, " ")
 	request := xxhash.Sum64String(shape + string(g.ask.Rest))
@@ -425,10 +449,10 @@
 		}
 		return true, nil
 	case repeat.Conflict:
-		return false, &chat.Problem{Status: 422, Type: "invalid_request_error", Param: keyField, Code: "idempotency_key_reused",
+		return false, &front.Problem{Status: 422, Type: "invalid_request_error", Param: keyField, Code: "idempotency_key_reused",
 			Message: "The Idempotency-Key was used for another request."}
 	}
-	return false, &chat.Problem{Status: 409, Type: "invalid_request_error", Param: keyField, Code: "already_ran", Never: true,
+	return false, &front.Problem{Status: 409, Type: "invalid_request_error", Param: keyField, Code: "already_ran", Never: true,
 		Message: "The generation of this Idempotency-Key ran, or may have run, and is not run again; its answer is no longer here."}
 }
 
@@ -443,7 +467,7 @@
 
 // clientLeft: this client waits no more. What has a key and may be running goes on without it, as its client can only
 // ask for it again: it is not run a second time.
-func (x *Dispatcher) clientLeft(g *gen, to *chat.Reply) {
+func (x *Dispatcher) clientLeft(g *gen, to *front.Reply) {
 	at := slices.Index(g.replies, to)
 	if at < 0 {
 		return
@@ -513,13 +537,14 @@
 	case path.Fetched:
 		g.state, g.mayLie = "", nil
 	case path.TellStarted:
+		slo := x.place.Products[g.product].SLO + choice.Micros(float64(x.place.Products[g.product].SLOPer1000)*float64(g.ask.Tokens)/1000)
+		x.batches.limiter.Chat(now, float64(now-g.taken) > chatLate*float64(slo))
 		g.leg.Started()
 		if !g.ask.Stream {
 			// The client of a whole answer has nothing yet, so its time goes on.
 			g.limit = x.loop.After(g.deadline-wholeGrace-now, func() { x.take(g, path.TimeUp, what{why: "The answer was not whole within the client's time."}) })
 		}
-		p := x.place.Products[g.product]
-		x.gate.Began(now, g.ticket, now-g.taken, p.SLO+choice.Micros(float64(p.SLOPer1000)*float64(g.ask.Tokens)/1000))
+		x.gate.Began(now, g.ticket, now-g.taken, slo)
 		x.module.Started(now, g.id, g.legs-1)
 		x.loop.Later(x.turns)
 	case path.TellEnded:
@@ -529,6 +554,9 @@
 		}
 		x.module.Ended(now, g.id, g.legs-1, o.How, o.Note, g.Answered(), o.Memory)
 	case path.TellArrived:
+		if g.part != nil {
+			g.part.admitted(now)
+		}
 		x.arrived(g)
 	case path.TellQuit:
 		x.module.Quit(now, g.id)
@@ -536,19 +564,35 @@
 		x.module.Left(now, g.id)
 	case path.Relay:
 		x.relay(g, w.data)
+	case path.AnswerStreamed, path.AnswerThrottled, path.AnswerTerminated:
+		g.final = a
+		if g.part != nil {
+			g.part.answered(g, a, w.comeBack)
+			return
+		}
+		x.answerAs(g, a, w)
+	case path.SlowLeg:
+		g.leg.Slow(true)
+	case path.ResumeLeg:
+		g.leg.Slow(false)
+	case path.Forget:
+		x.forget(g)
+	}
+}
+
+// answerAs gives the one final answer.
+func (x *Dispatcher) answerAs(g *gen, a path.Action, w what) {
+	switch a {
 	case path.AnswerStreamed:
 		x.Streamed++
-		g.final = a
 		x.note(g, "streamed", w.why)
-		x.answer(g, true, func(r *chat.Reply) { r.Streamed() })
+		x.answer(g, true, func(r *front.Reply) { r.Streamed() })
 	case path.AnswerThrottled:
 		x.Throttled++
-		g.final = a
 		x.note(g, "throttled", w.why)
-		x.answer(g, false, func(r *chat.Reply) { r.Throttled(w.comeBack) })
-	case path.AnswerTerminated:
+		x.answer(g, false, func(r *front.Reply) { r.Throttled(w.comeBack) })
+	default:
 		x.Terminated++
-		g.final = a
 		why, again := w.why, x.Products[g.product].Effect == pb.Product_IDEMPOTENT
 		if g.tokens > 0 && w.outcome.Why != "" {
 			why = "The stream broke after " + strconv.Itoa(g.tokens) + " tokens."
@@ -557,18 +601,12 @@
 			why += " It may have run and must not be repeated by itself."
 		}
 		x.note(g, "terminated", why)
-		x.answer(g, false, func(r *chat.Reply) { r.Terminated(again, why) })
-	case path.SlowLeg:
-		g.leg.Slow(true)
-	case path.ResumeLeg:
-		g.leg.Slow(false)
-	case path.Forget:
-		x.forget(g)
+		x.answer(g, false, func(r *front.Reply) { r.Terminated(again, why) })
 	}
 }
 
 // answer gives the final answer to all that wait for it, and has it remembered.
-func (x *Dispatcher) answer(g *gen, good bool, give func(*chat.Reply)) {
+func (x *Dispatcher) answer(g *gen, good bool, give func(*front.Reply)) {
 	for _, r := range g.replies {
 		give(r)
 	}
@@ -595,6 +633,9 @@
 			t.Stop()
 		}
 	}
+	if g.part != nil && g.final == 0 {
+		g.part.answered(g, path.Forget, 0) // taken back
+	}
 	x.remember(g, false) // where its client left before it was answered
 	x.paid(g)
 	x.loop.Later(func() { // the module answers first and then lets go, in one call
@@ -623,6 +664,10 @@
 			}
 		},
 	}
+	if g.part != nil {
+		x.carryPart(g, name, w, hear)
+		return
+	}
 	if reads {
 		g.mayLie = append(g.mayLie, place{w.host, name})
 		x.intendEarly(g)
@@ -654,7 +699,9 @@
 	switch o.How {
 	case choice.ReadDone:
 		e = path.LegRead
-		g.state = o.State
+		if g.state = o.State; g.part != nil {
+			e = path.LegWhole
+		}
 	case choice.Streamed:
 		e = path.LegStreamed
 	case choice.Full, choice.Unreachable, choice.NeverSent:
@@ -666,6 +713,15 @@
 			g.ran = g.ranFirst
 		}
 	}
+	if g.part != nil {
+		if o.How == choice.Errored || o.How == choice.Dropped {
+			g.part.broken++
+		}
+		g.part.bad = g.part.bad || o.Bad
+		if g.part.bad || g.part.broken == partHosts { // no other host would do better; the call sees to what is the matter
+			x.take(g, path.ClientLeft)
+		}
+	}
 	if o.How != choice.Streamed && o.How != choice.ReadDone {
 		x.post.Log.Debug().Uint64("gen", uint64(g.id)).Int("leg", int(g.legs)-1).Uint32("host", uint32(g.host)).
 			Int("ending", int(o.How)).Str("why", o.Why).Msg("leg ended")
@@ -710,7 +766,7 @@
 func (x *Dispatcher) Send(id choice.GenID, host choice.HostID, allow choice.Micros) {
 	if g := x.gens[id]; g != nil {
 		e := path.OrderWrite
-		if x.role(host) == choice.Reader {
+		if x.role(host) == choice.Reader || g.part != nil {
 			e = path.OrderRead
 		}
 		x.take(g, e, what{host: host, allow: allow})
--- a/internal/dispatch/tenants.go
+++ b/internal/dispatch/tenants.go
@@ -10,7 +10,7 @@
 	"strconv"
 
 	"plumspindle/choice"
-	"plumspindle/internal/chat"
+	"plumspindle/internal/front"
 	"plumspindle/internal/path"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/subscribe"
@@ -178,37 +178,37 @@
 }
 
 // Identify finds whose key it is.
-func (x *Dispatcher) Identify(key string) (chat.Identity, bool) {
+func (x *Dispatcher) Identify(key string) (front.Identity, bool) {
 	if s := x.static[sha256.Sum256([]byte(key))]; s != nil {
-		return chat.Identity{Tenant: s.name, Space: s.space, Serves: true}, true
+		return front.Identity{Tenant: s.name, Space: s.space, Serves: true}, true
 	}
 	t, k, known := x.directory.Whose(int64(x.loop.Now()/seam.Second), key)
 	if !known || !slices.Contains(k.Scopes, tenancy.ScopeChat) {
-		return chat.Identity{}, false
+		return front.Identity{}, false
 	}
 	s := x.seats[t.Name]
 	if s == nil || s.id != t.ID {
-		return chat.Identity{}, false
+		return front.Identity{}, false
 	}
-	return chat.Identity{Tenant: s.name, Key: k.ID, Space: s.space, Serves: s.serves}, true
+	return front.Identity{Tenant: s.name, Key: k.ID, Space: s.space, Serves: s.serves}, true
 }
 
 // admission takes a generation to its tenant's gate. It tells whether it goes to the module now; else it waits, or has
 // been answered.
-func (x *Dispatcher) admission(g *gen, who chat.Identity, to *chat.Reply) (now bool, problem *chat.Problem) {
+func (x *Dispatcher) admission(g *gen, who front.Identity, to *front.Reply) (now bool, problem *front.Problem) {
 	s := x.seats[who.Tenant]
 	if s == nil || !who.Serves {
-		return false, &chat.Problem{Status: 403, Type: "permission_error", Code: "tenant_suspended", Never: true,
+		return false, &front.Problem{Status: 403, Type: "permission_error", Code: "tenant_suspended", Never: true,
 			Message: "This account is suspended."}
 	}
 	g.seat = s
 	t, v := x.gate.Ask(x.loop.Now(), s.id, who.Key, g.ask.Model, g.ask.Tokens, g.ask.Most)
 	switch {
 	case v.Reason == tenancy.PromptTooLarge:
-		return false, &chat.Problem{Status: 400, Type: "invalid_request_error", Param: "messages", Code: "prompt_too_large",
+		return false, &front.Problem{Status: 400, Type: "invalid_request_error", Param: "messages", Code: "prompt_too_large",
 			Message: "The prompt has more tokens than this account may ask for."}
 	case v.Reason == tenancy.NotServed:
-		return false, &chat.Problem{Status: 403, Type: "permission_error", Code: "tenant_suspended", Never: true, Message: "This account is suspended."}
+		return false, &front.Problem{Status: 403, Type: "permission_error", Code: "tenant_suspended", Never: true, Message: "This account is suspended."}
 	case v.Reason != tenancy.None:
 		x.Refused++
 		x.meter.Add(tenancy.Used{Tenant: s.name, Product: g.ask.Model, Day: tenancy.Day(x.loop.Now()), Throttled: 1})
@@ -261,13 +261,22 @@
 	}
 	now := x.loop.Now()
 	u := tenancy.Used{Tenant: g.seat.name, Product: g.ask.Model, Day: tenancy.Day(now), Taken: 1}
-	switch g.final {
-	case path.AnswerStreamed:
+	if g.part != nil { // the call counts, not its parts; but what they read does
+		u.Taken = 0
+		if g.final == path.AnswerStreamed {
+			u.Prompt = uint64(g.prompt)
+		} else if g.final == path.AnswerThrottled {
+			x.gate.Held(now, g.ticket)
+		}
+	}
+	switch final := g.final; {
+	case g.part != nil:
+	case final == path.AnswerStreamed:
 		u.Streamed = 1
-	case path.AnswerThrottled:
+	case final == path.AnswerThrottled:
 		u.Throttled = 1
 		x.gate.Held(now, g.ticket) // one inside its share found no place
-	case path.AnswerTerminated:
+	case final == path.AnswerTerminated:
 		u.Terminated = 1
 	default:
 		u.Left = 1
@@ -278,7 +287,9 @@
 			u.Prompt = uint64(g.prompt)
 		}
 	}
-	x.meter.Add(u)
+	if g.part == nil || u.Prompt > 0 {
+		x.meter.Add(u)
+	}
 	x.gate.End(now, g.ticket, int(u.Prompt+u.Answer))
 	g.ticket = nil
 	s := g.seat
--- /dev/null
+++ b/internal/embed/ask.go
@@ -0,0 +1,471 @@
+// Package embed is the client's APIs whose answers are complete with the read: embeddings after the public OpenAI
+// specification, and reranking in the form that is commonly published. It reads a body as it comes, keeps each input only
+// until its part is back, and shapes vectors and scores into the one answer. How a call is parted is package batch's.
+package embed
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/tidwall/gjson"
+
+	"plumspindle/internal/front"
+	"plumspindle/internal/vectors"
+)
+
+// Kind is which API a call came by.
+type Kind uint8
+
+const (
+	Embeddings Kind = iota
+	Rerank
+)
+
+// Bounds are what a call is held to.
+type Bounds struct {
+	Inputs      int // of a call
+	InputTokens int // of one input
+	Body        int // bytes, also once it is decoded
+	Window      int // bytes of inputs that are kept at once
+}
+
+// Input is one text, or list of tokens, without repeats.
+type Input struct {
+	Raw    []byte // as JSON; nil once it is not needed any more
+	Tokens int
+	Key    vectors.Key
+}
+
+// Owner is what stands behind a call.
+type Owner interface {
+	// Begin is told once that all is known that a part needs; inputs may go out from now on.
+	Begin() *front.Problem
+	// Added tells of further inputs, or, with whole, that there will be none.
+	Added(whole bool) *front.Problem
+}
+
+// Ask is what a client wants, as far as its body has come. It is the front's Sink.
+type Ask struct {
+	Kind       Kind
+	Model      string
+	Base64     bool
+	Dimensions int // 0: as many as the model has
+	Query      string
+	TopN       int  // 0: all
+	Documents  bool // the documents are to be given back
+	Inputs     []Input
+	Order      []int32  // of each input as it came, its place among Inputs
+	Kept       int      // bytes of inputs that are kept
+	Texts      []string // of documents that are to be given back, by place among Inputs
+
+	bounds  Bounds
+	owner   Owner
+	to      *front.Reply
+	scan    scanner
+	places  map[vectors.Key]int32
+	tokens  []byte // of one list of tokens that is not inside another
+	listed  int
+	begun   bool
+	coded   []byte
+	coding  string
+	decoder io.Reader
+	decoded int
+	ended   bool // the body has come
+	over    bool
+	piece   []byte
+}
+
+// tokenBytes is how many bytes of text are taken for a token; hosts tell the true count afterwards.
+const tokenBytes = 4
+
+// codedMost is how large a coded body may be as it comes: it is kept whole and decoded as there is room.
+const codedMost = 16 << 20
+
+// NewAsk makes one for a body in a coding, "" for none.
+func NewAsk(kind Kind, coding string, bounds Bounds, owner Owner, to *front.Reply) *Ask {
+	a := &Ask{Kind: kind, bounds: bounds, owner: owner, to: to, places: map[vectors.Key]int32{}, coding: strings.ToLower(coding), piece: make([]byte, 32<<10)}
+	if a.coding == "identity" {
+		a.coding = ""
+	}
+	a.scan = scanner{lists: []string{"input", "documents"}, most: min(bounds.InputTokens*16+1024, bounds.Body), member: a.member, element: a.element}
+	return a
+}
+
+// Data takes the body's next bytes.
+func (a *Ask) Data(b []byte) *front.Problem {
+	if a.coding != "" {
+		if a.coded = append(a.coded, b...); len(a.coded) > codedMost {
+			return &front.Problem{Status: 413, Type: "invalid_request_error", Code: "body_too_large",
+				Message: fmt.Sprintf("A coded body may have %d bytes.", codedMost)}
+		}
+		return nil
+	}
+	return a.take(b)
+}
+
+func (a *Ask) take(b []byte) *front.Problem {
+	if p := a.scan.feed(b); p != nil {
+		return p
+	}
+	return a.grown()
+}
+
+// grown: where much is kept the rest of the body waits, and what has come goes out, if all is known that it needs.
+func (a *Ask) grown() *front.Problem {
+	if a.Kept <= a.bounds.Window/2 {
+		return nil
+	}
+	if !a.begun {
+		if a.Model == "" || a.Kind == Rerank && a.Query == "" {
+			if a.Kept <= a.bounds.Window {
+				return nil
+			}
+			return &front.Problem{Status: 413, Type: "invalid_request_error", Code: "body_too_large", Message: fmt.Sprintf(
+				"Where the inputs have more than %d bytes, 'model' and what else is no input have to come before them.", a.bounds.Window)}
+		}
+		if p := a.begin(); p != nil {
+			return p
+		}
+	}
+	if p := a.owner.Added(false); p != nil {
+		return p
+	}
+	a.to.Pause(a.Kept > a.bounds.Window)
+	return nil
+}
+
+func (a *Ask) begin() *front.Problem {
+	a.begun = true
+	if !a.Documents { // it can't be asked for any more
+		a.Texts = nil
+	}
+	return a.owner.Begin()
+}
+
+// End tells that the body has come.
+func (a *Ask) End() *front.Problem {
+	a.ended = true
+	if a.coding == "" {
+		return a.finish()
+	}
+	return a.decode()
+}
+
+// decode reads on in a coded body, as far as there is room.
+func (a *Ask) decode() *front.Problem {
+	if a.decoder == nil {
+		var err error
+		if a.coding == "gzip" {
+			a.decoder, err = gzip.NewReader(bytes.NewReader(a.coded))
+		} else {
+			a.decoder, err = zstd.NewReader(bytes.NewReader(a.coded), zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
+		}
+		if err != nil {
+			return a.undecodable()
+		}
+	}
+	for a.Kept <= a.bounds.Window {
+		n, err := a.decoder.Read(a.piece)
+		if a.decoded += n; a.decoded > a.bounds.Body {
+			return &front.Problem{Status: 413, Type: "invalid_request_error", Code: "body_too_large",
+				Message: fmt.Sprintf("The body is larger than %d bytes once it is decoded.", a.bounds.Body)}
+		}
+		if p := a.take(a.piece[:n]); p != nil {
+			return p
+		}
+		if errors.Is(err, io.EOF) {
+			a.Close()
+			return a.finish()
+		}
+		if err != nil {
+			return a.undecodable()
+		}
+	}
+	return nil
+}
+
+func (a *Ask) undecodable() *front.Problem {
+	return front.Invalid("", "invalid_coding", "The body can't be decoded as %s.", a.coding)
+}
+
+// Close gives back what decoding took.
+func (a *Ask) Close() {
+	if z, ok := a.decoder.(*zstd.Decoder); ok {
+		z.Close()
+	}
+	a.decoder, a.coded = nil, nil
+}
+
+func (a *Ask) finish() *front.Problem {
+	if a.over {
+		return nil
+	}
+	a.over = true
+	if p := a.scan.close(); p != nil {
+		return p
+	}
+	if p := a.endTokens(); p != nil {
+		return p
+	}
+	list := "input"
+	if a.Kind == Rerank {
+		list = "documents"
+	}
+	missing := func(name string) *front.Problem {
+		return front.Invalid(name, "missing_required_parameter", "Missing required parameter: '%s'.", name)
+	}
+	switch {
+	case a.Model == "":
+		return missing("model")
+	case a.Kind == Rerank && !a.scan.seen["query"]:
+		return missing("query")
+	case !a.scan.seen[list]:
+		return missing(list)
+	case len(a.Order) == 0:
+		return front.Invalid(list, "empty_array", "Invalid '%s': empty array.", list)
+	}
+	if !a.begun {
+		if p := a.begin(); p != nil {
+			return p
+		}
+	}
+	return a.owner.Added(true)
+}
+
+// Drop lets go of an input that is not needed any more. It tells of a problem that shows in what is read on then.
+func (a *Ask) Drop(i int) *front.Problem {
+	in := &a.Inputs[i]
+	a.Kept -= len(in.Raw)
+	in.Raw = nil
+	if a.over || a.Kept > a.bounds.Window/2 {
+		return nil
+	}
+	if a.ended && a.coding != "" {
+		return a.decode()
+	}
+	a.to.Pause(false)
+	return nil
+}
+
+// early members have to come before the inputs of a body that is larger than what is kept: parts have gone out without them.
+func (a *Ask) late(name string) *front.Problem {
+	if !a.begun {
+		return nil
+	}
+	return front.Invalid(name, "parameter_too_late", "In a body of this size '%s' has to come before the inputs.", name)
+}
+
+func (a *Ask) member(name string, raw []byte) *front.Problem {
+	v := gjson.ParseBytes(raw)
+	wrong := func(want string) *front.Problem {
+		return front.Invalid(name, "invalid_type", "Invalid type for '%s': expected %s, but got %s instead.", name, want, strings.ToLower(v.Type.String()))
+	}
+	if v.Type == gjson.Null && name != "model" && name != "input" && name != "query" && name != "documents" {
+		return nil
+	}
+	if p := a.late(name); p != nil && name != "user" && name != "top_n" && name != "encoding_format" {
+		return p
+	}
+	count := func() (int, *front.Problem) {
+		if v.Type != gjson.Number || v.Num != float64(int(v.Num)) {
+			return 0, wrong("an integer")
+		}
+		if v.Num < 1 {
+			return 0, front.Invalid(name, "integer_below_min_value", "Invalid '%s': expected a value >= 1.", name)
+		}
+		return int(v.Num), nil
+	}
+	var p *front.Problem
+	switch {
+	case name == "model":
+		if v.Type != gjson.String || v.Str == "" {
+			return wrong("a string")
+		}
+		a.Model = v.String()
+	case a.Kind == Embeddings && name == "input":
+		if v.Type != gjson.String {
+			return wrong("a string or an array")
+		}
+		return a.element(name, raw)
+	case a.Kind == Embeddings && name == "encoding_format":
+		if f := v.String(); f != "float" && f != "base64" {
+			return front.Invalid(name, "invalid_value", "Invalid value: '%.40s'. Supported values are: float, base64.", f)
+		}
+		a.Base64 = v.String() == "base64"
+	case a.Kind == Embeddings && name == "dimensions":
+		a.Dimensions, p = count()
+		return p
+	case a.Kind == Rerank && name == "query":
+		if v.Type != gjson.String || v.Str == "" {
+			return wrong("a string")
+		}
+		a.Query = v.String()
+	case a.Kind == Rerank && name == "top_n":
+		a.TopN, p = count()
+		return p
+	case a.Kind == Rerank && name == "return_documents":
+		if !v.IsBool() {
+			return wrong("a boolean")
+		}
+		a.Documents = v.Bool()
+	case a.Kind == Rerank && name == "documents":
+		return wrong("an array")
+	case name == "user" && v.Type == gjson.String:
+	default:
+		return front.Invalid(name, "unknown_parameter", "Unknown parameter: '%.60s'.", name)
+	}
+	return nil
+}
+
+// element takes one of the inputs.
+func (a *Ask) element(name string, raw []byte) *front.Problem {
+	if (name == "documents") != (a.Kind == Rerank) {
+		return front.Invalid(name, "unknown_parameter", "Unknown parameter: '%.60s'.", name)
+	}
+	at := fmt.Sprintf("%s[%d]", name, len(a.Order))
+	v := gjson.ParseBytes(raw)
+	if a.Kind == Rerank && v.IsObject() {
+		if v = v.Get("text"); v.Type == gjson.String {
+			raw = []byte(v.Raw)
+		}
+	}
+	switch {
+	case v.Type == gjson.String:
+		text := quoteLess(raw)
+		if text == "" && a.Kind == Embeddings {
+			return front.Invalid(at, "invalid_value", "Invalid '%s': an input may not be empty.", at)
+		}
+		if a.Kind == Rerank {
+			a.keepText(text)
+		}
+		return a.add(at, raw, (len(text)+tokenBytes-1)/tokenBytes)
+	case v.Type == gjson.Number && a.Kind == Embeddings && (len(a.Order) == 0 || a.listed > 0):
+		if !a.token(v) {
+			return front.Invalid("input", "invalid_value", "Invalid 'input': a token is an integer >= 0.")
+		}
+		if a.listed++; a.listed > a.bounds.InputTokens {
+			return a.tooManyTokens("input", a.listed)
+		}
+		a.tokens = append(append(a.tokens, raw...), ',')
+		return nil
+	case v.IsArray() && a.Kind == Embeddings:
+		list := v.Array()
+		for _, t := range list {
+			if !a.token(t) {
+				return front.Invalid(at, "invalid_value", "Invalid '%s': a token is an integer >= 0.", at)
+			}
+		}
+		if len(list) == 0 {
+			return front.Invalid(at, "empty_array", "Invalid '%s': empty array.", at)
+		}
+		return a.add(at, raw, len(list))
+	}
+	want := "a string or an array of tokens"
+	if a.Kind == Rerank {
+		want = "a string or an object with a text"
+	}
+	return front.Invalid(at, "invalid_type", "Invalid type for '%s': expected %s.", at, want)
+}
+
+func (a *Ask) token(v gjson.Result) bool {
+	return v.Type == gjson.Number && v.Num >= 0 && v.Num == float64(int64(v.Num)) && v.Num < 1<<31
+}
+
+// endTokens: tokens that were not inside a further list are one input.
+func (a *Ask) endTokens() *front.Problem {
+	if a.listed == 0 {
+		return nil
+	}
+	n := a.listed
+	a.listed = 0
+	raw := append([]byte{'['}, a.tokens...)
+	raw[len(raw)-1] = ']'
+	a.tokens = nil
+	return a.add("input", raw, n)
+}
+
+func (a *Ask) tooManyTokens(at string, n int) *front.Problem {
+	return front.Invalid(at, "input_too_long", "Invalid '%s': about %d tokens, and an input may have %d.", at, n, a.bounds.InputTokens)
+}
+
+// keepText keeps a document's text where it is to be given back; whether that is so may be said after it.
+func (a *Ask) keepText(text string) {
+	if len(a.Texts) == len(a.Inputs) && (!a.begun || a.Documents) {
+		a.Texts = append(a.Texts, text)
+	}
+}
+
+func (a *Ask) add(at string, raw []byte, tokens int) *front.Problem {
+	if a.listed > 0 {
+		return front.Invalid(at, "invalid_type", "Tokens and other inputs can't stand in one list.")
+	}
+	if tokens > a.bounds.InputTokens {
+		return a.tooManyTokens(at, tokens)
+	}
+	if len(a.Order) >= a.bounds.Inputs {
+		return front.Invalid(at[:strings.IndexByte(at+"[", '[')], "array_above_max_length", "More than %d inputs are not taken in one call.", a.bounds.Inputs)
+	}
+	digest := sha256.Sum256(raw)
+	key := vectors.Key(digest[:16])
+	place, some := a.places[key]
+	if !some {
+		place = int32(len(a.Inputs))
+		a.places[key] = place
+		a.Inputs = append(a.Inputs, Input{Raw: append([]byte(nil), raw...), Tokens: max(tokens, 1), Key: key})
+		a.Kept += len(raw)
+	} else if a.Kind == Rerank && len(a.Texts) > len(a.Inputs) {
+		a.Texts = a.Texts[:len(a.Inputs)]
+	}
+	a.Order = append(a.Order, place)
+	return nil
+}
+
+// CacheKey names an input's vector for a product and a number of dimensions.
+func (a *Ask) CacheKey(i, dimensions int) vectors.Key {
+	k := a.Inputs[i].Key
+	h := sha256.New()
+	_, _ = h.Write(k[:])
+	_ = binary.Write(h, binary.LittleEndian, uint32(dimensions))
+	_, _ = io.WriteString(h, a.Model)
+	return vectors.Key(h.Sum(nil)[:16])
+}
+
+// Part is the body of the request to a host for some inputs.
+func (a *Ask) Part(inputs []int, dimensions int) (path string, body []byte) {
+	body = append(body, `{"model":`...)
+	body = appendString(body, a.Model)
+	if a.Kind == Rerank {
+		path = "/v1/rerank"
+		body = append(body, `,"query":`...)
+		body = appendString(body, a.Query)
+		body = append(body, `,"documents":[`...)
+	} else {
+		path = "/v1/embeddings"
+		body = append(body, fmt.Sprintf(`,"encoding_format":"base64","dimensions":%d,"input":[`, dimensions)...)
+	}
+	for n, i := range inputs {
+		if n > 0 {
+			body = append(body, ',')
+		}
+		body = append(body, a.Inputs[i].Raw...)
+	}
+	return path, append(body, "]}"...)
+}
+
+// Tokens is how much is to be read for some inputs.
+func (a *Ask) Tokens(inputs []int) (sum int) {
+	for _, i := range inputs {
+		sum += a.Inputs[i].Tokens
+		if a.Kind == Rerank {
+			sum += (len(a.Query) + tokenBytes - 1) / tokenBytes
+		}
+	}
+	return sum
+}
--- a/internal/engine/ending.go
+++ b/internal/engine/ending.go
@@ -20,6 +20,7 @@
 	Note   int     // ReadDone: prompt tokens found kept. Full: 1 if there was no state to fetch
 	Memory float64 // share of the host's memory that is held, or choice.NoReport
 	State  string  // ReadDone: where the state lies, as the host put it
+	Bad    bool    // the host says that what it was sent is no good: no other would do better
 	Why    string  // for logs: which line of the table in docs/legs.md
 }
 
@@ -34,6 +35,7 @@
 	{429, "full", choice.Full, 0},
 	{503, "draining", choice.Full, 0},
 	{409, "state_lost", choice.Full, 1},
+	{422, "invalid_input", choice.NeverSent, 0},
 }
 
 // refused reads an answer that is not a success.
@@ -41,7 +43,7 @@
 	code := gjson.GetBytes(body, "error.code").String()
 	for _, r := range refusals {
 		if r.status == status && r.code == code && gjson.ValidBytes(body) {
-			return Outcome{How: r.how, Note: r.note, Why: "host says " + code}
+			return Outcome{How: r.how, Note: r.note, Bad: r.status == 422, Why: "host says " + code}
 		}
 	}
 	return Outcome{How: choice.Errored, Why: "status " + strconv.Itoa(status)}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -103,6 +103,8 @@
 	trunk  *trunk
 	hear   Hearer
 	reads  bool
+	judge  func(body []byte) Outcome // of what is complete with its read: reads its answer
+	most   int                       // bytes of an answer that is not streamed
 	allow  seam.Timer
 	ended  bool
 
@@ -140,13 +142,34 @@
 	return e.leg(id, name, clientID, ask, members, false, allow, hear)
 }
 
-func (e *Engine) leg(id choice.HostID, name, clientID string, ask *chat.Ask, members string, reads bool,
-	allow seam.Micros, hear Hearer) *Leg {
-	l := &Leg{engine: e, host: e.hosts[id], hear: hear, reads: reads, memory: choice.NoReport,
+// Whole sends what is complete with its read. Its answer is read by judge, which says Errored of one that is not what was
+// asked for. It does not call back before it has returned.
+func (e *Engine) Whole(id choice.HostID, name, clientID, path string, body []byte, most int, allow seam.Micros, judge func(body []byte) Outcome,
+	hear Hearer) *Leg {
+	l := e.begin(id, true, allow, hear)
+	l.judge, l.most = judge, most
+	if !l.ended && l.host != nil && l.host.addr != "" {
+		e.carry(l, http1.AppendRequest(nil, "POST", path, l.host.addr, body, "Content-Type", "application/json", "x-request-id", name,
+			"x-client-request-id", clientID, "x-dispatcher", e.name, "x-zone", e.zone))
+	}
+	return l
+}
+
+// begin makes a leg that is not on its way yet; one to a host without an address ends soon.
+func (e *Engine) begin(id choice.HostID, reads bool, allow seam.Micros, hear Hearer) *Leg {
+	l := &Leg{engine: e, host: e.hosts[id], hear: hear, reads: reads, memory: choice.NoReport, most: answerMost,
 		events: sse.Parser{Most: eventMost}}
 	l.allow = e.loop.After(allow, func() { l.end(Outcome{How: choice.TimedOut, Why: "not in the time allowed"}, true) })
 	if l.host == nil || l.host.addr == "" {
 		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host has no address"}, false) })
+	}
+	return l
+}
+
+func (e *Engine) leg(id choice.HostID, name, clientID string, ask *chat.Ask, members string, reads bool,
+	allow seam.Micros, hear Hearer) *Leg {
+	l := e.begin(id, reads, allow, hear)
+	if l.host == nil || l.host.addr == "" {
 		return l
 	}
 	if ask.Salt != "" {
@@ -387,7 +410,7 @@
 		return errUnasked
 	}
 	if l.reads || l.head.Status != 200 || !strings.HasPrefix(l.head.Get("Content-Type"), "text/event-stream") {
-		if l.body = append(l.body, b...); len(l.body) > answerMost {
+		if l.body = append(l.body, b...); len(l.body) > l.most {
 			return errors.New("the answer is too long")
 		}
 		return nil
@@ -428,6 +451,9 @@
 	switch {
 	case l.head.Status != 200:
 		o = refused(l.head.Status, l.body)
+	case l.judge != nil:
+		o = l.judge(l.body)
+		o.Memory = 0 // as its head reports
 	case l.reads:
 		o = readDone(l.body)
 	case l.done:
@@ -465,7 +491,7 @@
 	if tries == 0 || h.addr == "" {
 		return
 	}
-	l := &Leg{engine: e, host: h, reads: true, memory: choice.NoReport}
+	l := &Leg{engine: e, host: h, reads: true, memory: choice.NoReport, most: answerMost}
 	l.hear.Ended = func(o Outcome) {
 		if l.head == nil || l.head.Status != 200 {
 			e.loop.After(letGoPause, func() { e.letGo(h, body, tries-1) })
--- a/internal/chat/front.go
+++ b/internal/front/front.go
@@ -1,8 +1,13 @@
-package chat
+// Package front is what all of the client's APIs share: connections of clients, who they are, bodies with their bounds, the
+// one final answer to a request, error objects. An API is a Route: how its requests are read and its answers are shaped. The
+// front decides nothing about where a generation goes, nor whether it is throttled.
+package front
 
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -26,11 +31,76 @@
 type Service interface {
 	// Identify finds whose key it is.
 	Identify(key string) (who Identity, known bool)
-	// Models are the products on offer.
-	Models() []string
-	// Generate takes a generation: from here on exactly one final answer is owed on the reply. It may tell
-	// of a problem instead, and then owes nothing.
-	Generate(ask *Ask, who Identity, head *http1.Head, to *Reply) *Problem
+}
+
+// Route is one URL of an API.
+type Route struct {
+	Method string
+	Body   int // bytes that a body may have; 0: as the front's bounds say
+	// Begin takes a request whose head has come: either it gives what takes the body, or the request is refused. Once the
+	// body's end was taken without a problem exactly one final answer is owed on the reply.
+	Begin func(head *http1.Head, who Identity, to *Reply) (Sink, *Problem)
+}
+
+// Sink takes one request's body as it comes.
+type Sink interface {
+	Data(b []byte) *Problem
+	End() *Problem
+}
+
+// Whole is a Sink that needs all of a body at once.
+type Whole struct {
+	body []byte
+	Do   func(body []byte) *Problem
+}
+
+func (w *Whole) Data(b []byte) *Problem { w.body = append(w.body, b...); return nil }
+func (w *Whole) End() *Problem          { return w.Do(w.body) }
+
+// IsJSON refuses what is not said to be JSON, and codings other than those that are taken.
+func IsJSON(head *http1.Head, codings ...string) *Problem {
+	if t := head.Get("Content-Type"); t != "" && !strings.HasPrefix(strings.ToLower(t), "application/json") {
+		return &Problem{Status: 415, Type: "invalid_request_error", Code: "unsupported_content_type", Message: "The content type must be application/json."}
+	}
+	e := strings.ToLower(head.Get("Content-Encoding"))
+	if e == "" || e == "identity" || slices.Contains(codings, e) {
+		return nil
+	}
+	message := "Coded bodies are not taken."
+	if len(codings) > 0 {
+		message = "Bodies are taken plain or coded as " + strings.Join(codings, " or ") + "."
+	}
+	return &Problem{Status: 415, Type: "invalid_request_error", Code: "unsupported_content_encoding", Message: message}
+}
+
+// Problem is a request that can't be carried, as the client is told of it.
+type Problem struct {
+	Status  int
+	Type    string
+	Param   string
+	Code    string
+	Message string
+	Never   bool // no repeat can help: client libraries are told not to try
+}
+
+func (p *Problem) Error() string { return p.Message }
+
+// Body is the error object of the specification.
+func (p *Problem) Body() []byte {
+	quote := func(s string) any {
+		if s == "" {
+			return nil
+		}
+		return s
+	}
+	b, _ := json.Marshal(map[string]any{"error": map[string]any{"message": p.Message, "type": p.Type,
+		"param": quote(p.Param), "code": quote(p.Code)}})
+	return b
+}
+
+// Invalid is a request whose parameter is no good.
+func Invalid(param, code, format string, args ...any) *Problem {
+	return &Problem{Status: 400, Type: "invalid_request_error", Param: param, Code: code, Message: fmt.Sprintf(format, args...)}
 }
 
 // Identity is whom a key belongs to. Names of texts and sessions are apart by Space, which no two tenants share.
@@ -45,19 +115,34 @@
 type Front struct {
 	loop     seam.Loop
 	service  Service
+	routes   map[string]Route
 	bounds   http1.Bounds
 	patience Patience
 	clients  map[*client]bool
 	leaving  bool
-	// Public tells whether the operator lets tenants share a text, by its digest; nil: none is.
-	Public func(digest string) bool
 	// Open is how many requests wait for their final answer.
 	Open int
 }
 
-// NewFront makes one; its Accept goes to Listen.
-func NewFront(loop seam.Loop, service Service, bounds http1.Bounds, patience Patience) *Front {
-	return &Front{loop: loop, service: service, bounds: bounds, patience: patience, clients: map[*client]bool{}}
+// New makes one; its Accept goes to Listen. Routes are by path; one that ends in a slash takes all paths below it.
+func New(loop seam.Loop, service Service, routes map[string]Route, bounds http1.Bounds, patience Patience) *Front {
+	f := &Front{loop: loop, service: service, routes: routes, bounds: bounds, patience: patience, clients: map[*client]bool{}}
+	f.bounds.BodyOf = func(target string) int {
+		if r, some := f.route(target); some && r.Body > 0 {
+			return r.Body
+		}
+		return bounds.Body
+	}
+	return f
+}
+
+func (f *Front) route(target string) (Route, bool) {
+	path, _, _ := strings.Cut(target, "?")
+	r, some := f.routes[path]
+	if at := strings.LastIndexByte(path, '/'); !some && at > 0 {
+		r, some = f.routes[path[:at+1]]
+	}
+	return r, some
 }
 
 // Accept is for the listener.
@@ -81,7 +166,9 @@
 	conn   seam.Conn
 	parser http1.Parser
 	head   *http1.Head
-	body   []byte
+	sink   Sink
+	refuse *Problem // what the request will be answered with, once it has come
+	came   int      // bytes of its body since its time was last drawn out
 	reply  *Reply
 	timer  seam.Timer
 	out    []byte
@@ -115,9 +202,7 @@
 	}
 	if c.reply == nil && c.parser.Idle() {
 		// A whole message is waited for from its first byte: bytes that trickle in buy no further time.
-		c.wait(c.front.patience.Message, func() {
-			c.refuse(&Problem{Status: 408, Type: "invalid_request_error", Code: "request_timeout", Message: "The request did not come in time."})
-		})
+		c.awaitMessage()
 	}
 	c.check(c.parser.Feed(b, c))
 	if c.parser.Waiting() > c.front.bounds.Head {
@@ -125,21 +210,31 @@
 	}
 }
 
+func (c *client) awaitMessage() {
+	c.came = 0
+	c.wait(c.front.patience.Message, func() {
+		c.refused(&Problem{Status: 408, Type: "invalid_request_error", Code: "request_timeout", Message: "The request did not come in time."})
+	})
+}
+
 func (c *client) check(err error) {
 	var fault *http1.Fault
 	if errors.As(err, &fault) {
 		kind := "invalid_request_error"
-		c.refuse(&Problem{Status: fault.Status, Type: kind, Message: "The request can't be read: " + fault.Reason + "."})
+		c.refused(&Problem{Status: fault.Status, Type: kind, Message: "The request can't be read: " + fault.Reason + "."})
 	}
 }
 
-// refuse answers a request that can't be carried and closes, as what follows can't be told apart any more.
-func (c *client) refuse(p *Problem) {
+// refused answers a request that can't be carried and closes, as what follows can't be told apart any more.
+func (c *client) refused(p *Problem) {
 	if c.over {
 		return
 	}
 	c.over = true
-	if c.reply != nil {
+	if r := c.reply; r != nil && !r.taken {
+		r.done, c.reply = true, nil // it is answered here, and nobody else was told of it
+		c.front.Open--
+	} else if r != nil {
 		c.reply.leave() // what was pipelined behind it is broken; its answer can't be told apart from the refusal's
 		c.conn.Abort()
 		return
@@ -153,12 +248,15 @@
 	c.conn.Write(http1.AppendResponse(nil, p.Status, p.Body(), append(fields, "Content-Type", "application/json")...))
 }
 
+// drawOut is how much of a long body buys a whole message's time again.
+const drawOut = 1 << 20
+
 // Head, Body and End are the parser's events.
 func (c *client) Head(h *http1.Head) error {
-	c.head, c.body = h, nil
-	if h.Length > 0 {
-		c.body = make([]byte, 0, min(h.Length, 64<<10))
-	}
+	c.head, c.sink, c.refuse = h, nil, nil
+	c.reply = &Reply{client: c, keep: h.KeepAlive() && !c.front.leaving}
+	c.front.Open++
+	c.sink, c.refuse = c.front.begin(h, c.reply)
 	if strings.EqualFold(h.Get("Expect"), "100-continue") {
 		c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -166,91 +264,92 @@
 }
 
 func (c *client) Body(b []byte) error {
-	c.body = append(c.body, b...)
+	if c.came += len(b); c.came >= drawOut && !c.reply.paused {
+		c.awaitMessage()
+	}
+	if c.refuse == nil && c.sink != nil {
+		c.refuse = c.sink.Data(b)
+	}
 	return nil
 }
 
 func (c *client) End() error {
 	c.parser.Hold()
 	c.wait(0, nil)
-	head, body := c.head, c.body
-	c.head, c.body = nil, nil
-	to := &Reply{client: c, keep: head.KeepAlive() && !c.front.leaving}
-	c.reply = to
-	c.front.Open++
-	if p := c.front.serve(head, body, to); p != nil {
+	to, sink, p := c.reply, c.sink, c.refuse
+	c.head, c.sink, c.refuse = nil, nil, nil
+	to.taken = true
+	if p == nil && sink != nil {
+		p = sink.End()
+	}
+	if p != nil {
 		to.problem(p)
 	}
 	return nil
 }
 
-// serve finds what a request asks for.
-func (f *Front) serve(head *http1.Head, body []byte, to *Reply) *Problem {
+// begin finds what a request asks for, and who asks.
+func (f *Front) begin(head *http1.Head, to *Reply) (Sink, *Problem) {
 	if f.leaving {
-		to.Throttled(0) // nothing ran; another dispatcher takes it
-		return nil
+		// Nothing ran; another dispatcher takes it.
+		return &Whole{Do: func([]byte) *Problem { to.Throttled(0); return nil }}, nil
 	}
 	path, _, _ := strings.Cut(head.Target, "?")
 	key, bearer := strings.CutPrefix(head.Get("Authorization"), "Bearer ")
+	unknown := &Problem{Status: 404, Type: "invalid_request_error", Code: "unknown_url", Message: "Unknown request URL: " + head.Method + " " + path + "."}
 	if !strings.HasPrefix(path, "/v1/") {
-		return &Problem{Status: 404, Type: "invalid_request_error", Code: "unknown_url", Message: "Unknown request URL: " + head.Method + " " + path + "."}
+		return nil, unknown
 	}
 	if !bearer || key == "" {
-		return &Problem{Status: 401, Type: "invalid_request_error", Message: "You didn't provide an API key."}
+		return nil, &Problem{Status: 401, Type: "invalid_request_error", Message: "You didn't provide an API key."}
 	}
 	who, known := f.service.Identify(key)
 	if !known {
-		return &Problem{Status: 401, Type: "invalid_request_error", Code: "invalid_api_key", Message: "Incorrect API key provided."}
+		return nil, &Problem{Status: 401, Type: "invalid_request_error", Code: "invalid_api_key", Message: "Incorrect API key provided."}
 	}
-	model, one := strings.CutPrefix(path, "/v1/models/")
+	r, some := f.route(head.Target)
 	switch {
-	case path == "/v1/chat/completions":
-		if head.Method != "POST" {
-			return method(head.Method)
-		}
-		if t := head.Get("Content-Type"); t != "" && !strings.HasPrefix(strings.ToLower(t), "application/json") {
-			return &Problem{Status: 415, Type: "invalid_request_error", Code: "unsupported_content_type", Message: "The content type must be application/json."}
-		}
-		if e := head.Get("Content-Encoding"); e != "" && e != "identity" {
-			return &Problem{Status: 415, Type: "invalid_request_error", Code: "unsupported_content_encoding", Message: "Coded bodies are not taken."}
-		}
-		ask, p := ParseAsk(body, who.Space, f.Public)
-		if p != nil {
-			return p
-		}
-		return f.service.Generate(ask, who, head, to)
-	case path == "/v1/models" || one:
-		if head.Method != "GET" {
-			return method(head.Method)
-		}
-		return f.models(model, one, to)
+	case !some:
+		return nil, unknown
+	case head.Method != r.Method:
+		return nil, method(head.Method)
 	}
-	return &Problem{Status: 404, Type: "invalid_request_error", Code: "unknown_url", Message: "Unknown request URL: " + head.Method + " " + path + "."}
+	return r.Begin(head, who, to)
 }
 
 func method(name string) *Problem {
 	return &Problem{Status: 405, Type: "invalid_request_error", Message: "Not allowed to " + strings.ToUpper(name) + " on this URL."}
 }
 
-func (f *Front) models(only string, one bool, to *Reply) *Problem {
+// Models are the routes by which clients ask what is on offer.
+func Models(names func() []string) (path string, all Route, below string, one Route) {
 	entry := func(m string) map[string]any {
 		return map[string]any{"id": m, "object": "model", "created": 0, "owned_by": "plumspindle"}
 	}
-	all := []any{}
-	for _, m := range f.service.Models() {
-		if one && m == only {
-			b, _ := json.Marshal(entry(m))
+	all = Route{Method: "GET", Begin: func(_ *http1.Head, _ Identity, to *Reply) (Sink, *Problem) {
+		return &Whole{Do: func([]byte) *Problem {
+			list := []any{}
+			for _, m := range names() {
+				list = append(list, entry(m))
+			}
+			b, _ := json.Marshal(map[string]any{"object": "list", "data": list})
 			to.finish(200, b)
 			return nil
+		}}, nil
+	}}
+	one = Route{Method: "GET", Begin: func(head *http1.Head, _ Identity, to *Reply) (Sink, *Problem) {
+		path, _, _ := strings.Cut(head.Target, "?")
+		name := path[strings.LastIndexByte(path, '/')+1:]
+		if !slices.Contains(names(), name) {
+			return nil, NoModel(name)
 		}
-		all = append(all, entry(m))
-	}
-	if one {
-		return NoModel(only)
-	}
-	b, _ := json.Marshal(map[string]any{"object": "list", "data": all})
-	to.finish(200, b)
-	return nil
+		return &Whole{Do: func([]byte) *Problem {
+			b, _ := json.Marshal(entry(name))
+			to.finish(200, b)
+			return nil
+		}}, nil
+	}}
+	return "/v1/models", all, "/v1/models/", one
 }
 
 // NoModel is the answer to a model that is not on offer.
@@ -292,13 +391,25 @@
 
 // --- The reply ---
 
+// Shape is what an API makes of a writer's events.
+type Shape interface {
+	RequestID() string
+	Streams() bool               // the client is sent events, else one whole answer
+	Waits() bool                 // nothing of the answer has been shaped yet
+	Take(b, event []byte) []byte // appends what the client is sent for one event
+	Last(b []byte) []byte        // what it is sent at the end of a stream
+	Whole() []byte               // the whole answer
+}
+
 // Reply carries one final answer to the client, and nothing after it.
 type Reply struct {
 	client *client
 	keep   bool
+	taken  bool // the whole request has come
+	paused bool
 	begun  bool
 	done   bool
-	answer *Answer
+	shape  Shape
 	out    []byte
 	// OnLeft is called once when the client goes away before its final answer; OnDrained when a client that
 	// lagged has caught up.
@@ -313,7 +424,66 @@
 func (r *Reply) Begun() bool { return r.begun }
 
 // Shape says how the answer is to look; before the first chunk.
-func (r *Reply) Shape(a *Answer) { r.answer = a }
+func (r *Reply) Shape(s Shape) { r.shape = s }
+
+// Pause has the request's body wait, where what was read of it already is enough to go on with.
+func (r *Reply) Pause(on bool) {
+	c := r.client
+	if r.taken || r.done || r.paused == on {
+		return
+	}
+	r.paused = on
+	c.conn.Pause(on)
+	if on {
+		c.wait(0, nil)
+	} else {
+		c.awaitMessage()
+	}
+}
+
+// Refuse is the final answer to a request whose body is still coming, or has come.
+func (r *Reply) Refuse(p *Problem) {
+	if r.done {
+		return
+	}
+	if r.taken {
+		r.problem(p)
+		return
+	}
+	r.client.refuse = p
+	r.Pause(false)
+}
+
+// Pour is a long whole answer that is made piece by piece, as the client takes it.
+func (r *Reply) Pour(kind string, next func() (piece []byte, more bool), fields ...string) {
+	if r.done {
+		return
+	}
+	c := r.client
+	r.begun = true
+	c.conn.Write(http1.AppendStreamHead(nil, 200, append(fields, "Content-Type", kind)...))
+	var on func()
+	on = func() {
+		for !r.done && c.conn.Unsent() < c.front.patience.Unsent {
+			piece, more := next()
+			b := http1.AppendChunk(nil, piece)
+			if !more {
+				c.conn.Write(http1.AppendLastChunk(b))
+				r.close()
+				return
+			}
+			c.conn.Write(b)
+		}
+		if !r.done {
+			c.wait(c.front.patience.Stall, func() { c.stalled() })
+		}
+	}
+	r.OnDrained = on
+	on()
+}
+
+// Give is the whole final answer.
+func (r *Reply) Give(status int, body []byte, fields ...string) { r.finish(status, body, fields...) }
 
 // Chunk hands on one usable event of a writer. It tells whether the client lags behind.
 func (r *Reply) Chunk(data []byte) (lags bool) {
@@ -321,7 +491,7 @@
 		return false
 	}
 	c := r.client
-	event := r.answer.Take(r.out[:0], data)
+	event := r.shape.Take(r.out[:0], data)
 	r.out = event
 	if len(event) == 0 {
 		return false
@@ -345,7 +515,7 @@
 // Beat begins the stream, where it has not begun, and sends a comment that clients pass over. It tells whether there
 // is still something to wait for.
 func (r *Reply) Beat() bool {
-	if r.done || r.begun && r.answer.roled {
+	if r.done || r.begun && !r.shape.Waits() {
 		return false
 	}
 	c := r.client
@@ -361,7 +531,7 @@
 
 func (r *Reply) head(b []byte) []byte {
 	return http1.AppendStreamHead(b, 200, "Content-Type", "text/event-stream; charset=utf-8", "Cache-Control", "no-cache",
-		"x-request-id", r.answer.ID)
+		"x-request-id", r.shape.RequestID())
 }
 
 // stalled ends a stream that its client does not read: nothing can be told to it any more.
@@ -378,15 +548,15 @@
 	if r.done {
 		return
 	}
-	if !r.answer.Ask.Stream {
-		r.finish(200, r.answer.Whole(), "x-request-id", r.answer.ID)
+	if !r.shape.Streams() {
+		r.finish(200, r.shape.Whole(), "x-request-id", r.shape.RequestID())
 		return
 	}
 	b := []byte(nil)
 	if !r.begun {
 		b = r.head(b)
 	}
-	b = http1.AppendChunk(b, r.answer.Last(nil))
+	b = http1.AppendChunk(b, r.shape.Last(nil))
 	r.client.conn.Write(http1.AppendLastChunk(b))
 	r.close()
 }
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -27,6 +27,8 @@
 	Head   int // bytes of the start line and all fields
 	Fields int
 	Body   int // bytes; for a request
+	// BodyOf, where it is set, stands for Body by the request's target.
+	BodyOf func(target string) int
 }
 
 // Usual are bounds that common clients stay far below.
@@ -92,6 +94,7 @@
 	line    []byte // of the head, or of a chunk's size, as far as it has come
 	left    int64
 	body    int
+	most    int    // bytes that this body may have
 	waiting []byte // what came while held
 }
 
@@ -164,8 +167,8 @@
 }
 
 func (p *Parser) deliver(b []byte, ev Events) error {
-	if p.body += len(b); !p.Response && p.body > p.Bounds.Body {
-		return fault(413, "the body is larger than %d bytes", p.Bounds.Body)
+	if p.body += len(b); !p.Response && p.body > p.most {
+		return fault(413, "the body is larger than %d bytes", p.most)
 	}
 	return ev.Body(b)
 }
@@ -302,7 +305,10 @@
 			coding = strings.ToLower(f.Value)
 		}
 	}
-	p.body = 0
+	p.body, p.most = 0, p.Bounds.Body
+	if p.Bounds.BodyOf != nil {
+		p.most = p.Bounds.BodyOf(h.Target)
+	}
 	switch {
 	case coding != "" && length != "":
 		return fault(400, "both a length and a transfer coding")
@@ -317,8 +323,8 @@
 		if err != nil {
 			return fault(400, "malformed length %.20q", length)
 		}
-		if !p.Response && n > uint64(p.Bounds.Body) {
-			return fault(413, "the body of %d bytes is larger than %d", n, p.Bounds.Body)
+		if !p.Response && n > uint64(p.most) {
+			return fault(413, "the body of %d bytes is larger than %d", n, p.most)
 		}
 		p.state, p.left, h.Length = inBody, int64(n), int64(n)
 	case p.Response:
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -278,6 +278,8 @@
 			if e.Value > 1 {
 				j.fail(3, i+1, "", "cold host %d was sent %.2f of what it bears, in %d legs", e.Host, e.Value, e.N)
 			}
+		case "misled":
+			j.fail(2, i+1, e.Gen, "chat was sent to host %d, which only embeds", e.Host)
 		case "fell":
 			j.fail(3, i+1, "", "cold host %d fell over", e.Host)
 		}
--- a/internal/lab/days/days.go
+++ b/internal/lab/days/days.go
@@ -68,6 +68,7 @@
 	Keyed       bool           // clients send Idempotency-Keys and repeat, at the same dispatcher, what was cut off
 	Intents     bool           // dispatchers keep intents across their lives
 	Used        []tenancy.Used // what the dispatchers say was used, after a virtual day
+	Batches     []*load.Batches
 
 	dir     string
 	book    *record.Book
@@ -120,6 +121,9 @@
 func (p *Play) Run(ctx context.Context) (v *audit.Verdict, err error) {
 	p.end = make(chan struct{})
 	text := p.prepare()
+	if err := p.fits(); err != nil {
+		return nil, err
+	}
 	if p.dir, err = os.MkdirTemp("", "plumspindle-day"); err != nil {
 		return nil, err
 	}
@@ -152,6 +156,25 @@
 	return p.Deployment.Text()
 }
 
+// fits tells whether the deployment has what the script asks for.
+func (p *Play) fits() error {
+	for i, b := range p.Script.Batches {
+		fine := false
+		for _, product := range p.Deployment.Products {
+			fine = fine || product.Name == b.Product && product.Form != pb.Product_CHAT
+		}
+		switch {
+		case !fine:
+			return fmt.Errorf("day %s: batches[%d].product: the deployment has no product %q for batches", p.Script.Name, i, b.Product)
+		case int(b.Tenant) >= len(p.Deployment.Tenants):
+			return fmt.Errorf("day %s: batches[%d].tenant: there are %d tenants, numbered from 0", p.Script.Name, i, len(p.Deployment.Tenants))
+		case b.Inputs < 1 || b.Inputs > 2048 || b.Tokens < 8 || b.Tokens > 8000:
+			return fmt.Errorf("day %s: batches[%d]: a call has 1 to 2048 inputs of 8 to 8000 tokens", p.Script.Name, i)
+		}
+	}
+	return nil
+}
+
 // openRecord begins a record in a folder, beside the deployment that it is judged by; with no folder it is kept in
 // memory only.
 func openRecord(dir string, text []byte) (*record.Book, error) {
@@ -231,12 +254,44 @@
 		p.crowd.Rate, p.crowd.Keyed = p.Script.Rate, p.Keyed
 		p.crowd.Run()
 	})
+	for _, b := range p.Script.Batches {
+		p.crowdAt.Do(func() {
+			l := &load.Batches{Crowd: p.crowd, Tenant: int(b.Tenant), At: int(b.AtOnce), Inputs: int(b.Inputs), Tokens: int(b.Tokens), Calls: int(b.Calls)}
+			for _, product := range p.Deployment.Products {
+				if product.Name == b.Product {
+					l.Product = product
+				}
+			}
+			p.Batches = append(p.Batches, l)
+			p.crowdAt.After(seam.Micros(b.FromMs)*seam.Millisecond, l.Run)
+			if b.ForMs > 0 {
+				p.crowdAt.After(seam.Micros(b.FromMs+b.ForMs)*seam.Millisecond, l.Stop)
+			}
+		})
+	}
 	for _, t := range p.Script.Troubles {
 		after := seam.Micros(t.AtMs) * seam.Millisecond
 		p.fleetAt.Do(func() { p.fleetAt.After(after, func() { p.trouble(ctx, t) }) })
 	}
 }
 
+// stop: nothing more is asked.
+func (p *Play) stop() {
+	p.crowd.Stop()
+	for _, b := range p.Batches {
+		b.Stop()
+	}
+}
+
+// open is what waits for its answer.
+func (p *Play) open() int {
+	n := p.crowd.Open
+	for _, b := range p.Batches {
+		n += b.Open
+	}
+	return n
+}
+
 // wait lets the day pass, and what is out at its end.
 func (p *Play) wait(ctx context.Context, started time.Time) error {
 	tick := time.NewTicker(500 * time.Millisecond)
@@ -252,9 +307,9 @@
 		var asked, open int
 		p.crowdAt.Do(func() {
 			if passed >= day {
-				p.crowd.Stop()
+				p.stop()
 			}
-			asked, open = p.crowd.Asked, p.crowd.Open
+			asked, open = p.crowd.Asked, p.open()
 		})
 		if n%10 == 9 && p.Progress != nil {
 			fmt.Fprintf(p.Progress, "%s: %d of %d s, %d asked, %d open\n", p.Script.Name, int(passed.Seconds()), p.Script.Seconds, asked, open)
--- a/internal/lab/hosts/host.go
+++ b/internal/lab/hosts/host.go
@@ -74,6 +74,8 @@
 	fetchFrom, fetchLeg               string
 	fetching                          bool
 	usage                             bool
+	whole                             func() []byte // the answer of a read that is all that was asked for
+	fails                             int           // the status that it is answered with, whatever host it comes to
 	out                               []byte
 }
 
@@ -327,7 +329,9 @@
 			if j.shared != 0 {
 				h.texts[j.shared] = j.sharedTokens
 			}
-			if j.reads {
+			if j.whole != nil {
+				h.wholeDone(j)
+			} else if j.reads {
 				h.readDone(j)
 			}
 		case !j.reads:
@@ -546,6 +550,13 @@
 		c.problem(503, "draining")
 	case h.full != "" && h.full == j.product, len(h.waiting) >= int(h.group.Queue):
 		c.problem(429, "full")
+	case j.whole == nil && h.kind.Role == pb.Kind_EMBEDDER:
+		h.fleet.note(h, "misled", j) // chat is never to come here
+		c.problem(500, "internal")
+	case j.fails == 500:
+		c.problem(500, "internal")
+	case j.fails == 422:
+		c.problem(422, "invalid_input")
 	case j.reads && h.kind.Role == pb.Kind_WRITER, j.toRead > 0 && h.kind.Role == pb.Kind_WRITER && !h.fleet.d.Dispatching.WritersRead:
 		c.problem(409, "state_lost")
 	case h.errs > 0 && h.fleet.rand.Float64() < h.errs:
@@ -646,6 +657,8 @@
 	switch {
 	case head.Target == "/v1/chat/completions":
 		h.take(c, head, body)
+	case head.Target == "/v1/embeddings", head.Target == "/v1/rerank":
+		h.takeWhole(c, head, body)
 	case h.frozen || c.parted():
 		c.late = append(c.late, serve)
 	default:
--- /dev/null
+++ b/internal/lab/load/batch.go
@@ -0,0 +1,254 @@
+package load
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"plumspindle/internal/deployment/pb"
+	"plumspindle/internal/http1"
+	"plumspindle/internal/lab/hosts"
+	"plumspindle/internal/lab/record"
+	"plumspindle/internal/seam"
+)
+
+// Batches are clients that ask for embeddings or rerankings, so many calls at once; each asks again when it was answered.
+type Batches struct {
+	Crowd   *Crowd
+	Product *pb.Product
+	Tenant  int
+	At      int // calls at once
+	Inputs  int // of a call
+	Tokens  int // of an input, about
+	Calls   int // in all; 0: until Stop
+
+	Open    int
+	Begun   int
+	Read    int // inputs that came back, each at its place
+	ReadTok int
+	Wrong   int
+	Finals  map[string]int
+	stopped bool
+	filler  string
+}
+
+// Run begins.
+func (b *Batches) Run() {
+	b.Finals = map[string]int{}
+	b.filler = b.Crowd.words(b.Tokens)
+	for range b.At {
+		b.next()
+	}
+}
+
+// Stop: nothing more is asked.
+func (b *Batches) Stop() { b.stopped = true }
+
+func (b *Batches) next() {
+	if b.stopped || b.Calls > 0 && b.Begun >= b.Calls {
+		return
+	}
+	b.Begun++
+	b.Open++
+	c := &batchCall{load: b, id: fmt.Sprintf("b%s%d", b.Product.Name, b.Begun)}
+	for i := range b.Inputs {
+		c.inputs = append(c.inputs, strconv.Quote(fmt.Sprintf("%s %d %s", c.id, i, b.filler[:max(4*b.Tokens-len(c.id)-8, 1)])))
+	}
+	c.since = b.Crowd.loop.Now()
+	c.try()
+}
+
+type batchCall struct {
+	load   *Batches
+	id     string
+	inputs []string
+	since  seam.Micros
+	tries  int
+}
+
+func (c *batchCall) try() {
+	b := c.load
+	crowd := b.Crowd
+	left := c.since + seam.Micros(b.Product.TimeLimitMs)*seam.Millisecond - crowd.loop.Now()
+	var near []*Target
+	for _, t := range crowd.Targets {
+		if t.Alive {
+			near = append(near, t)
+		}
+	}
+	if left < 50*seam.Millisecond || len(near) == 0 || c.tries >= 2*triesMost {
+		c.over("unserved")
+		return
+	}
+	c.tries++
+	target := near[crowd.rand.Intn(len(near))]
+	path, body := "/v1/embeddings", `{"model":"`+b.Product.Name+`","encoding_format":"base64","input":[`+strings.Join(c.inputs, ",")+`]}`
+	if b.Product.Form == pb.Product_RERANK {
+		path, body = "/v1/rerank", `{"model":"`+b.Product.Name+`","query":"why?","documents":[`+strings.Join(c.inputs, ",")+`]}`
+	}
+	t := &batchTry{call: c, no: c.tries, name: target.Name, allow: left, parser: http1.Parser{Response: true, Bounds: http1.Usual}}
+	t.request = http1.AppendRequest(nil, "POST", path, target.Addr, []byte(body), "Content-Type", "application/json",
+		"Authorization", "Bearer "+crowd.Keys[b.Tenant], "x-client-request-id", c.id,
+		"x-time-limit-ms", strconv.FormatInt(int64(left/seam.Millisecond), 10), "Connection", "close")
+	t.conn = crowd.loop.Dial(target.Addr, 300*seam.Millisecond, t)
+}
+
+func (c *batchCall) over(how string) {
+	b := c.load
+	b.Open--
+	b.Finals[how]++
+	took := b.Crowd.loop.Now() - c.since
+	if how == "streamed" {
+		b.Read += len(c.inputs)
+		b.ReadTok += len(c.inputs) * b.Tokens
+	}
+	b.Crowd.book.Add(record.Event{At: int64(b.Crowd.loop.Now()), What: "over", Gen: c.id, How: how, Product: b.Product.Name,
+		Tenant: b.Crowd.d.Tenants[b.Tenant].Name, N: int64(took), Try: c.tries, Exact: how == "streamed"})
+	b.Crowd.loop.Later(b.next)
+}
+
+// batchTry is one request of a call.
+type batchTry struct {
+	call    *batchCall
+	no      int
+	name    string
+	conn    seam.Conn
+	request []byte
+	allow   seam.Micros
+	timer   seam.Timer
+	parser  http1.Parser
+	head    *http1.Head
+	body    []byte
+	sent    bool
+	ended   bool
+	exact   bool
+	cause   string
+}
+
+func (t *batchTry) note(what, how string) {
+	b := t.call.load
+	b.Crowd.book.Add(record.Event{At: int64(b.Crowd.loop.Now()), What: what, Gen: t.call.id, Try: t.no, Dispatcher: t.name, Product: b.Product.Name,
+		Tenant: b.Crowd.d.Tenants[b.Tenant].Name, How: how, Exact: t.exact, Value: float64(t.allow)})
+}
+
+func (t *batchTry) Opened() {
+	t.sent = true
+	t.note("ask", "")
+	t.conn.Write(t.request)
+	t.request = nil
+	t.timer = t.call.load.Crowd.loop.After(t.allow, func() {
+		t.final("gave_up")
+		t.conn.Abort()
+	})
+}
+
+func (t *batchTry) Drained() {}
+func (t *batchTry) Data(b []byte) {
+	if err := t.parser.Feed(b, t); err != nil && !t.ended {
+		t.cause = err.Error()
+		t.final("malformed")
+		t.conn.Abort()
+	}
+}
+func (t *batchTry) Head(h *http1.Head) error { t.head = h; return nil }
+func (t *batchTry) Body(b []byte) error {
+	if t.ended {
+		t.note("after", "bytes")
+	}
+	t.body = append(t.body, b...)
+	return nil
+}
+
+func (t *batchTry) End() error {
+	if t.ended {
+		return nil
+	}
+	switch {
+	case t.head.Status == 200:
+		if t.cause = t.check(); t.cause != "" {
+			t.call.load.Wrong++
+		}
+		t.exact = t.cause == ""
+		t.final("streamed")
+	case t.head.Status == 429:
+		t.final("throttled")
+	case t.head.Status >= 500 || t.head.Status == 422:
+		t.final("terminated")
+	default:
+		return fmt.Errorf("status %d: %.120s", t.head.Status, t.body)
+	}
+	return nil
+}
+
+// check holds an answer against what each input's vector, or score, has to be.
+func (t *batchTry) check() (wrong string) {
+	b, inputs := t.call.load, t.call.inputs
+	if b.Product.Form == pb.Product_RERANK {
+		last, seen := 2.0, map[int]bool{}
+		gjson.GetBytes(t.body, "results").ForEach(func(_, r gjson.Result) bool {
+			i, score := int(r.Get("index").Int()), r.Get("relevance_score").Num
+			if i < 0 || i >= len(inputs) || seen[i] || score != hosts.Score("why?", inputs[i]) || score > last {
+				wrong = fmt.Sprintf("document %d, score %v after %v", i, score, last)
+				return false
+			}
+			seen[i], last = true, score
+			return true
+		})
+		if wrong == "" && len(seen) != len(inputs) {
+			wrong = fmt.Sprintf("%d documents of %d", len(seen), len(inputs))
+		}
+		return wrong
+	}
+	n := 0
+	gjson.GetBytes(t.body, "data").ForEach(func(_, v gjson.Result) bool {
+		if n >= len(inputs) || v.Get("index").Int() != int64(n) ||
+			v.Get("embedding").Str != base64.StdEncoding.EncodeToString(hosts.Vector(inputs[n], int(b.Product.Dimensions))) {
+			wrong = fmt.Sprintf("vector %d is not its input's", n)
+			return false
+		}
+		n++
+		return true
+	})
+	if wrong == "" && n != len(inputs) {
+		wrong = fmt.Sprintf("%d vectors of %d", n, len(inputs))
+	}
+	return wrong
+}
+
+func (t *batchTry) Closed(error) {
+	switch {
+	case t.ended:
+	case !t.sent:
+		t.final("unreached")
+	default:
+		t.final("broken")
+	}
+}
+
+// final takes the try's end. A call may always come again.
+func (t *batchTry) final(how string) {
+	t.ended = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if t.sent {
+		t.note("final", how)
+	}
+	if t.cause != "" {
+		t.note("malformed", t.cause)
+	}
+	if how == "streamed" {
+		t.call.over(how)
+		return
+	}
+	wait := 100 * seam.Millisecond
+	if t.head != nil {
+		if ms, err := strconv.Atoi(t.head.Get("retry-after-ms")); err == nil {
+			wait = seam.Micros(ms) * seam.Millisecond
+		}
+	}
+	t.call.load.Crowd.loop.After(wait, t.call.try)
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -46,6 +46,7 @@
 	nextID     int
 	stopped    bool
 	texts      map[string][]string
+	chat       []*pb.Product
 	sessions   [][]*session // by tenant
 	Keyed      bool         // what may not simply run again goes with an Idempotency-Key, always to the same dispatcher
 	WholeShare float64      // of the answers that are asked for in one piece
@@ -60,6 +61,10 @@
 		c.sessions = append(c.sessions, nil)
 	}
 	for _, p := range d.Products {
+		if p.Form != pb.Product_CHAT {
+			continue
+		}
+		c.chat = append(c.chat, p)
 		for range 6 {
 			c.texts[p.Name] = append(c.texts[p.Name], c.words(800+c.rand.Intn(1600)))
 		}
@@ -125,7 +130,7 @@
 		own[i] = own[n-1]
 		c.sessions[tenant] = own[:n-1]
 	} else {
-		p := c.d.Products[c.rand.Intn(len(c.d.Products))]
+		p := c.chat[c.rand.Intn(len(c.chat))]
 		s = &session{product: p, tenant: tenant, zone: c.d.Zones[c.rand.Intn(len(c.d.Zones))], turns: 1 + c.rand.Intn(4)}
 		if c.rand.Float64() < 0.85 {
 			s.messages = append(s.messages, map[string]string{"role": "system", "content": c.texts[p.Name][c.rand.Intn(6)]})
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -42,11 +42,12 @@
 	CaughtUp                    // it does again
 	Admit                       // its tenant's turn has come
 	Stop                        // its tenant is removed, and what runs is not to go on
-	Events         = int(Stop) + 1
+	LegWhole                    // its read ended well, and that is its answer
+	Events         = int(LegWhole) + 1
 )
 
 var eventNames = [Events]string{"order read", "order write", "order throttle", "order terminate", "order cancel", "order let go", "leg read",
-	"leg streamed", "leg refused", "leg failed", "token", "client left", "time up", "lags", "caught up", "admit", "stop"}
+	"leg streamed", "leg refused", "leg failed", "token", "client left", "time up", "lags", "caught up", "admit", "stop", "leg whole"}
 
 func (e Event) String() string { return eventNames[e] }
 
@@ -113,6 +114,7 @@
 		OrderTerminate: to(Leaving, AnswerTerminated),
 		OrderCancel:    to(Reading, CloseLeg, ReportCancelled),
 		LegRead:        to(Held, TellEnded),
+		LegWhole:       to(Over, AnswerStreamed, TellEnded, Forget),
 		LegRefused:     to(Held, TellEnded),
 		LegFailed:      to(Held, ReleaseLeg, TellEnded),
 		ClientLeft:     to(Leaving, TellLeft),
@@ -140,6 +142,7 @@
 	Leaving: {
 		OrderCancel: to(Leaving, CloseLeg, ReportCancelled),
 		LegRead:     to(Over, TellEnded, Forget),
+		LegWhole:    to(Over, TellEnded, Forget),
 		LegRefused:  to(Over, TellEnded, Forget),
 		LegFailed:   to(Over, ReleaseLeg, TellEnded, Forget),
 		Token:       to(Over, CloseLeg, TellEnded, Forget), // it began although nobody waits: it could not be taken back
