--- /dev/null
+++ b/internal/dispatch/check.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"plumspindle/choice"
+	"plumspindle/internal/path"
+	"plumspindle/internal/roster"
+	"plumspindle/internal/seam"
+)
+
+// Plant is where a fault can be planted on purpose, to see that it is found out. There is none in service.
+type Plant struct {
+	Orders func(choice.Orders) choice.Orders
+	Place  func(*choice.Deployment)
+	News   func([]roster.Entry) []roster.Entry
+}
+
+// overdue is how long after its time a generation may still be waiting: the loop's own work, and whole answers' grace.
+const overdue = 100 * seam.Millisecond
+
+// Check tells whether the dispatcher's own state is what it should be, between any two things that happen: each generation's
+// fields fit where it stands, none has outlived its client's time unanswered, and what is counted is what there is.
+func (x *Dispatcher) Check() error {
+	now := x.loop.Now()
+	parts := 0
+	for id, g := range x.gens {
+		fault := ""
+		switch {
+		case g.id != id:
+			fault = "kept under another's id"
+		case (g.State == path.Held || g.State == path.Queued) && len(g.replies) == 0 && g.part == nil:
+			fault = "nobody waits for it"
+		case g.State == path.Reading && g.leg == nil:
+			fault = "read without a leg"
+		case g.State == path.Streaming && g.leg == nil:
+			fault = "streamed without a leg"
+		case !g.Answered() && g.ticket == nil:
+			fault = "without a ticket of its tenant"
+		case g.State != path.Streaming && !g.Answered() && now > g.deadline+overdue && g.beginsBy(now):
+			fault = fmt.Sprintf("unanswered %d ms after its client's time", (now-g.deadline)/seam.Millisecond)
+		case int(g.legs) > x.place.LegLimit:
+			fault = "more legs than there may be"
+		}
+		if fault != "" {
+			return fmt.Errorf("generation %d (%s), %v: %s", id, g.clientID, g.State, fault)
+		}
+		if g.part != nil && !g.part.queued && g.final == 0 && g.State != path.Over {
+			parts++
+		}
+	}
+	if out := x.batches.limiter.Out(); out != parts {
+		return fmt.Errorf("%d parts are out, and %d are counted", parts, out)
+	}
+	if n := x.front.Open; n < 0 {
+		return fmt.Errorf("%d requests are open", n)
+	}
+	return nil
+}
+
+// beginsBy: a clock that was set on makes what came before look late; only what was taken in this clock's time is judged.
+func (g *gen) beginsBy(now seam.Micros) bool { return now-g.taken < 2*(g.deadline-g.taken)+seam.Second }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -49,8 +49,10 @@
 
 	Intents *store.Store // keeps, across restarts, which generations with a key may have run; nil: a restart forgets them
 
-	Tenants     string // address of the administration; empty: only the deployment's own tenants, and kept ones, are served
-	Secret      []byte // shared with the administration; keys are sealed with it
+	Tenants string // address of the administration; empty: only the deployment's own tenants, and kept ones, are served
+	Secret  []byte // shared with the administration; keys are sealed with it
+	Plant   *Plant // a fault on purpose; nil in service
+
 	KeptTenants []byte // what the administration last said, as KeepTenants was handed it
 	KeepTenants func([]byte)
 }
@@ -166,7 +168,15 @@
 	x.recall()
 	x.place = d.Module()
 	x.place.Quotas = nil // told tenant by tenant, as they come
-	x.module = choice.Start(loop.Now(), post.Seed, x.place, x)
+	var orders choice.Orders = x
+	place := x.place
+	if t := post.Plant; t != nil && t.Place != nil {
+		t.Place(&place)
+	}
+	if t := post.Plant; t != nil && t.Orders != nil {
+		orders = t.Orders(x)
+	}
+	x.module = choice.Start(loop.Now(), post.Seed, place, orders)
 	if err := x.seatTenants(); err != nil {
 		return nil, err
 	}
@@ -249,6 +259,9 @@
 // --- The list ---
 
 func (x *Dispatcher) news(entries []roster.Entry, whole bool) {
+	if t := x.post.Plant; t != nil && t.News != nil {
+		entries = t.News(entries)
+	}
 	x.heard++
 	x.believe(entries, whole)
 	if x.post.Keep != nil && !x.keeping {
--- /dev/null
+++ b/internal/explore/plants.go
@@ -0,0 +1,230 @@
+package explore
+
+import (
+	"bytes"
+
+	"plumspindle/choice"
+	"plumspindle/internal/dispatch"
+	"plumspindle/internal/lab/days"
+	"plumspindle/internal/roster"
+	"plumspindle/internal/seam"
+	"plumspindle/internal/virtual"
+)
+
+// orders stands between the module and its dispatcher; what is nil goes through.
+type orders struct {
+	choice.Orders
+	send      func(gen choice.GenID, host choice.HostID, allow choice.Micros)
+	throttle  func(gen choice.GenID, after choice.Micros)
+	terminate func(gen choice.GenID)
+	cancel    func(gen choice.GenID, leg choice.LegNo)
+	letGo     func(gen choice.GenID)
+	ring      func(after choice.Micros, bell choice.Bell)
+}
+
+func (o *orders) Send(g choice.GenID, h choice.HostID, a choice.Micros) {
+	if o.send != nil {
+		o.send(g, h, a)
+		return
+	}
+	o.Orders.Send(g, h, a)
+}
+func (o *orders) Throttle(g choice.GenID, a choice.Micros) {
+	if o.throttle != nil {
+		o.throttle(g, a)
+		return
+	}
+	o.Orders.Throttle(g, a)
+}
+func (o *orders) Terminate(g choice.GenID) {
+	if o.terminate != nil {
+		o.terminate(g)
+		return
+	}
+	o.Orders.Terminate(g)
+}
+func (o *orders) Cancel(g choice.GenID, l choice.LegNo) {
+	if o.cancel != nil {
+		o.cancel(g, l)
+		return
+	}
+	o.Orders.Cancel(g, l)
+}
+func (o *orders) LetGo(g choice.GenID) {
+	if o.letGo != nil {
+		o.letGo(g)
+		return
+	}
+	o.Orders.LetGo(g)
+}
+func (o *orders) Ring(a choice.Micros, b choice.Bell) {
+	if o.ring != nil {
+		o.ring(a, b)
+		return
+	}
+	o.Orders.Ring(a, b)
+}
+
+// loop stands between a dispatcher and the world.
+type loop struct {
+	*virtual.Loop
+	timers int
+	lose   int // of so many timers one is never heard of
+	write  func(c seam.Conn, b []byte)
+}
+
+func (l *loop) After(span seam.Micros, f func()) seam.Timer {
+	if l.timers++; l.lose > 0 && l.timers%l.lose == 0 {
+		f = func() {}
+	}
+	return l.Loop.After(span, f)
+}
+
+func (l *loop) Listen(addr string, accept func(seam.Conn) seam.Handler) (seam.Listener, error) {
+	return l.Loop.Listen(addr, func(c seam.Conn) seam.Handler {
+		if l.write == nil {
+			return accept(c)
+		}
+		return accept(&conn{c, l.write})
+	})
+}
+
+type conn struct {
+	seam.Conn
+	write func(c seam.Conn, b []byte)
+}
+
+func (c *conn) Write(b []byte) { c.write(c.Conn, b) }
+
+func ordered(name string, change func(o *orders)) *days.Plant {
+	return &days.Plant{Name: name, Dispatcher: func() *dispatch.Plant {
+		return &dispatch.Plant{Orders: func(real choice.Orders) choice.Orders {
+			o := &orders{Orders: real}
+			change(o)
+			return o
+		}}
+	}}
+}
+
+func placed(name string, change func(*choice.Deployment)) *days.Plant {
+	return &days.Plant{Name: name, Dispatcher: func() *dispatch.Plant { return &dispatch.Plant{Place: change} }}
+}
+
+func heard(name string, change func([]roster.Entry) []roster.Entry) *days.Plant {
+	return &days.Plant{Name: name, Dispatcher: func() *dispatch.Plant { return &dispatch.Plant{News: change} }}
+}
+
+func looped(name string, change func(*loop)) *days.Plant {
+	return &days.Plant{Name: name, Loop: func(v *virtual.Loop) seam.Loop {
+		l := &loop{Loop: v}
+		change(l)
+		return l
+	}}
+}
+
+// Plants are the faults that can be planted: each is one that the rules, the state's own checks or the record have to find.
+func Plants() []*days.Plant {
+	final := []byte("data: [DONE]")
+	return []*days.Plant{
+		ordered("a state is never let go", func(o *orders) { o.letGo = func(choice.GenID) {} }),
+		ordered("every third state is not let go", func(o *orders) {
+			n := 0
+			o.letGo = func(g choice.GenID) {
+				if n++; n%3 != 0 {
+					o.Orders.LetGo(g)
+				}
+			}
+		}),
+		ordered("a throttling is forgotten", func(o *orders) { o.throttle = func(choice.GenID, choice.Micros) {} }),
+		ordered("a termination is forgotten", func(o *orders) { o.terminate = func(choice.GenID) {} }),
+		ordered("throttled in place of terminated", func(o *orders) {
+			o.terminate = func(g choice.GenID) { o.Orders.Throttle(g, 200*seam.Millisecond) }
+		}),
+		ordered("a cancel is forgotten", func(o *orders) { o.cancel = func(choice.GenID, choice.LegNo) {} }),
+		ordered("the beat stops", func(o *orders) {
+			n := 0
+			o.ring = func(a choice.Micros, b choice.Bell) {
+				if n++; n < 40 {
+					o.Orders.Ring(a, b)
+				}
+			}
+		}),
+		ordered("a leg in thirty is not sent", func(o *orders) {
+			n := 0
+			o.send = func(g choice.GenID, h choice.HostID, a choice.Micros) {
+				if n++; n%30 != 0 {
+					o.Orders.Send(g, h, a)
+				}
+			}
+		}),
+		heard("drains are not heard", func(all []roster.Entry) []roster.Entry {
+			for i := range all {
+				if all[i].Condition == "draining" {
+					all[i].Condition = "ready"
+				}
+			}
+			return all
+		}),
+		heard("ends are not heard", func(all []roster.Entry) (kept []roster.Entry) {
+			for _, e := range all {
+				if e.Condition != "gone" {
+					kept = append(kept, e)
+				}
+			}
+			return kept
+		}),
+		heard("starts are not heard", func(all []roster.Entry) []roster.Entry {
+			for i := range all {
+				all[i].Started = 0
+			}
+			return all
+		}),
+		placed("cold hosts are taken for warm", func(p *choice.Deployment) { p.Cold = 0 }),
+		placed("cold credit is ten times as much", func(p *choice.Deployment) { p.FallMultiple *= 10 }),
+		placed("side effects are taken for none", func(p *choice.Deployment) {
+			for i := range p.Products {
+				if p.Products[i].Effect == choice.SideEffecting {
+					p.Products[i].Effect = choice.Idempotent
+				}
+			}
+		}),
+		placed("repeats are dropped everywhere, it is thought", func(p *choice.Deployment) {
+			for i := range p.Products {
+				p.Products[i].Group = choice.AllHosts
+			}
+		}),
+		placed("repeats are dropped for ever, it is thought", func(p *choice.Deployment) {
+			for i := range p.Products {
+				p.Products[i].Window *= 100
+			}
+		}),
+		looped("one timer in two hundred is lost", func(l *loop) { l.lose = 200 }),
+		looped("the end of a stream is sent twice", func(l *loop) {
+			l.write = func(c seam.Conn, b []byte) {
+				c.Write(b)
+				if bytes.Contains(b, final) {
+					c.Write(b)
+				}
+			}
+		}),
+		looped("a stream loses what is in one write of fifty", func(l *loop) {
+			n := 0
+			l.write = func(c seam.Conn, b []byte) {
+				if n++; n%50 != 0 {
+					c.Write(b)
+				}
+			}
+		}),
+		looped("what is sent is sent again now and then", func(l *loop) {
+			n := 0
+			l.write = func(c seam.Conn, b []byte) {
+				c.Write(b)
+				if n++; n%40 == 0 {
+					c.Write(b)
+				}
+			}
+		}),
+		{Name: "intents are not kept", Play: func(p *days.Play) { p.Intents = false }},
+		{Name: "the disk answers before it has written", Folder: func(f *virtual.Folder) { f.Lies = true }},
+	}
+}
--- a/internal/lab/days/days.go
+++ b/internal/lab/days/days.go
@@ -26,9 +26,11 @@
 	"plumspindle/internal/lab/hosts"
 	"plumspindle/internal/lab/load"
 	"plumspindle/internal/lab/record"
+	"plumspindle/internal/path"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/sockets"
 	"plumspindle/internal/tenancy"
+	"plumspindle/internal/virtual"
 )
 
 // Ready is what a dispatcher, or the whole path, writes once it serves.
@@ -69,6 +71,14 @@
 	Intents     bool           // dispatchers keep intents across their lives
 	Used        []tenancy.Used // what the dispatchers say was used, after a virtual day
 	Batches     []*load.Batches
+	Plant       *Plant             // virtual days only, as what follows
+	Watch       func()             // called after each step
+	Delay       func() seam.Micros // how much longer each piece is on its way, once the load has begun
+	Steps       int                // of the world
+	Reached     []path.Reached     // by each dispatcher's last life
+
+	world *virtual.World
+	all   []*lives
 
 	dir     string
 	book    *record.Book
@@ -119,6 +129,11 @@
 
 // Run plays the day and judges it.
 func (p *Play) Run(ctx context.Context) (v *audit.Verdict, err error) {
+	for i, t := range p.Script.Troubles {
+		if inVirtualTime[t.Kind] != nil {
+			return nil, fmt.Errorf("day %s: troubles[%d]: %s can be played in virtual time only", p.Script.Name, i, t.Kind)
+		}
+	}
 	p.end = make(chan struct{})
 	text := p.prepare()
 	if err := p.fits(); err != nil {
@@ -505,7 +520,20 @@
 }
 
 // Kinds are the sorts of trouble that can be played.
-func Kinds() []string { return slices.Sorted(maps.Keys(troubles)) }
+func Kinds() []string {
+	return slices.Sorted(func(yield func(string) bool) {
+		for k := range troubles {
+			if !yield(k) {
+				return
+			}
+		}
+		for k := range inVirtualTime {
+			if !yield(k) {
+				return
+			}
+		}
+	})
+}
 
 // trouble begins one; it runs on the fleet's loop.
 func (p *Play) trouble(ctx context.Context, t *pb.Day_Trouble) {
@@ -514,6 +542,10 @@
 	if t.Kind == "neighbour" && share == 0 {
 		share = 0.25
 	}
+	if only, some := inVirtualTime[t.Kind]; some && p.world != nil {
+		only(p, t, seam.Micros(t.ForMs)*seam.Millisecond)
+		return
+	}
 	troubles[t.Kind](p, ctx, t, seam.Micros(t.ForMs)*seam.Millisecond, p.fleet.Pick(t.HostKind, share))
 }
 
--- a/internal/lab/days/restart.go
+++ b/internal/lab/days/restart.go
@@ -78,6 +78,32 @@
 	return audit.Judge(p.Deployment, events), left, nil
 }
 
+// Events are what clients and hosts saw on a played day.
+func (p *Play) Events() []record.Event { return p.events }
+
+// Streamed is how many generations were first asked for in one second of the day, and how many of them were streamed.
+func (p *Play) Streamed(second int) (asked, streamed int) {
+	in, first := map[string]bool{}, int64(0)
+	for _, e := range p.events {
+		if e.What == "ask" && e.Try == 1 {
+			if first == 0 {
+				first = e.At
+			}
+			if (e.At-first)/1e6 == int64(second) {
+				in[e.Gen] = true
+			}
+		}
+	}
+	for _, e := range p.events {
+		if e.What == "over" && in[e.Gen] {
+			if asked++; e.How == "streamed" {
+				streamed++
+			}
+		}
+	}
+	return asked, streamed
+}
+
 // InTime gives, for each second of a played day's load, how many generations were asked for and how many of them got their
 // answer within the SLO time.
 func (p *Play) InTime() (asked, in []int) {
--- a/internal/lab/hosts/fleet.go
+++ b/internal/lab/hosts/fleet.go
@@ -3,6 +3,7 @@
 package hosts
 
 import (
+	"fmt"
 	"math/rand"
 	"strconv"
 
@@ -118,6 +119,18 @@
 	})
 }
 
+// Summary is what each host has under way.
+func (f *Fleet) Summary() (lines []string) {
+	for _, h := range f.Hosts {
+		line := fmt.Sprint(h.ID, h.alive, h.draining, h.frozen, h.hung, len(h.waiting), len(h.states))
+		for _, j := range h.running {
+			line += fmt.Sprint(" ", j.leg, j.toRead, j.sent, j.fetching)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
 // Close ends all.
 func (f *Fleet) Close() {
 	if f.Roster != nil {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -54,6 +54,7 @@
 	Fairness fairnessCommand `cmd:"" help:"Play days on which one tenant floods, in virtual time or over sockets, and compare what the others get."`
 	Restarts restartsCommand `cmd:"" help:"Restart all dispatchers at once, in virtual time, with and without discovery, from lists of several ages."`
 	Batches  batchesCommand  `cmd:"" help:"Play days of chat with a flood of calls for embeddings, under limits that are learnt and fixed, and compare."`
+	Sim      simCommand      `cmd:"" help:"Play days in virtual time whose faults are drawn from seeds; find, shrink and replay those that fail."`
 	Store    storeCommand    `cmd:"" help:"Look at an embedded store."`
 	Check    checkCommand    `cmd:"" help:"Check a deployment and name every fault."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- a/internal/virtual/disk.go
+++ b/internal/virtual/disk.go
@@ -17,6 +17,8 @@
 	// Sync is how long making something durable takes; Fault, where it is set, is the end of all that is asked for.
 	Sync  seam.Micros
 	Fault error
+	// Lies has it answer at once, and have it durable later: what is killed in between is lost though it was answered.
+	Lies bool
 }
 
 // Folder makes an empty one.
@@ -52,6 +54,11 @@
 func (f *Folder) do(size int, apply func(n int), done func(error)) {
 	l, fault := f.l, f.Fault
 	f.busy = max(f.busy, f.w.now) + f.Sync
+	if f.Lies {
+		f.busy += 500 * seam.Millisecond
+		f.w.times.Set(f.w.now, func() { l.call(func() { done(nil) }) })
+		done = func(error) {}
+	}
 	f.w.times.Set(f.busy, func() {
 		switch {
 		case l.dead && l != f.l: // another has the folder already
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -27,6 +27,12 @@
 	// Window is how many bytes a receiver that does not read takes in before its sender has to wait.
 	Window int
 	Steps  int
+	// Watch, where it is set, is called after each step.
+	Watch func()
+	// Delay, where it is set, is how much longer one piece is on its way.
+	Delay   func() seam.Micros
+	blocked map[[2]*Loop]seam.Micros
+	steps   []stepAt
 	// Trace hashes what happens, so that two runs can be told apart.
 	Trace uint64
 }
@@ -34,7 +40,48 @@
 // New makes a world at a time of no meaning.
 func New(seed int64) *World {
 	return &World{now: 1_700_000_000 * seam.Second, rand: rand.New(rand.NewSource(seed)), listeners: map[string]*listener{},
-		nextPort: 10000, Latency: 200, Window: 128 << 10, Trace: 14695981039346656037}
+		blocked: map[[2]*Loop]seam.Micros{}, nextPort: 10000, Latency: 200, Window: 128 << 10, Trace: 14695981039346656037}
+}
+
+type stepAt struct {
+	at int
+	do func()
+}
+
+// AtStep does something between two steps, so many from now.
+func (w *World) AtStep(n int, do func()) { w.steps = append(w.steps, stepAt{w.Steps + n, do}) }
+
+// step is one thing that happens.
+func (w *World) step() {
+	w.Steps++
+	w.times.RunOne()
+	for i := 0; i < len(w.steps); i++ {
+		if s := w.steps[i]; s.at <= w.Steps {
+			w.steps = slices.Delete(w.steps, i, i+1)
+			i--
+			s.do()
+		}
+	}
+	if w.Watch != nil {
+		w.Watch()
+	}
+}
+
+// Block has nothing of one process reach another for a while; it arrives afterwards. The other way is open.
+func (w *World) Block(from, to *Loop, span seam.Micros) {
+	w.blocked[[2]*Loop{from, to}] = w.now + span
+}
+
+// way is when what is sent now is there.
+func (w *World) way(from, to *Loop) seam.Micros {
+	at := w.now + w.Latency
+	if w.Delay != nil {
+		at += w.Delay()
+	}
+	if len(w.blocked) > 0 {
+		at = max(at, w.blocked[[2]*Loop{from, to}])
+	}
+	return at
 }
 
 // Now is the world's time.
@@ -50,8 +97,7 @@
 			return
 		}
 		w.now = max(w.now, at)
-		w.Steps++
-		w.times.RunOne()
+		w.step()
 	}
 }
 
@@ -64,8 +110,7 @@
 			return holds()
 		}
 		w.now = max(w.now, at)
-		w.Steps++
-		w.times.RunOne()
+		w.step()
 	}
 	return true
 }
@@ -89,6 +134,7 @@
 	later  []func()
 	active bool
 	own    []*listener
+	skew   seam.Micros
 	// Descriptors, where it is above 0, is how many connections it may have.
 	Descriptors int
 }
@@ -154,7 +200,10 @@
 // Post is Do, for what is written for either seam.
 func (l *Loop) Post(f func()) { l.call(f) }
 
-func (l *Loop) Now() seam.Micros { return l.w.now }
+// Step sets the process's clock forward, or back; its timers run on.
+func (l *Loop) Step(by seam.Micros) { l.skew += by }
+
+func (l *Loop) Now() seam.Micros { return l.w.now + l.skew }
 
 type timer struct {
 	w  *World
@@ -251,6 +300,10 @@
 			fail(w.Latency, errors.New("connection refused"))
 			return
 		}
+		if wait := max(w.blocked[[2]*Loop{l, ln.l}], w.blocked[[2]*Loop{ln.l, l}]) - w.now; wait > 0 {
+			fail(min(wait, max(within-w.Latency, 0)), errors.New("no connection in time"))
+			return
+		}
 		if ln.l.full() { // the rest waits in the backlog, which here is as long as the caller's patience
 			fail(max(within-w.Latency, 0), errors.New("no connection in time"))
 			return
@@ -313,7 +366,7 @@
 		}
 		part := piece[:m]
 		piece = piece[m:]
-		c.arrives = max(c.arrives, w.now+w.Latency)
+		c.arrives = max(c.arrives, w.way(c.l, c.peer.l))
 		w.times.Set(c.arrives, func() { c.arrive(part) })
 		if w.Segment > 0 {
 			c.arrives += seam.Micros(w.rand.Intn(40))
@@ -399,7 +452,7 @@
 		if err == nil {
 			err = errors.New("closed by the other side")
 		}
-		w.times.Set(max(c.arrives, w.now+w.Latency), func() {
+		w.times.Set(max(c.arrives, w.way(c.l, far.l)), func() {
 			far.fin = err
 			if !far.paused {
 				far.l.call(far.handOver)
@@ -428,7 +481,7 @@
 	delete(c.l.conns, c)
 	if far := c.peer; far != nil && !c.finSent {
 		w := c.l.w
-		w.times.Set(max(c.arrives, w.now+w.Latency), func() {
+		w.times.Set(max(c.arrives, w.way(c.l, far.l)), func() {
 			far.fin = errors.New("connection reset")
 			far.l.call(func() { far.end(far.fin) })
 		})
