--- a/internal/dispatch/batches_test.go
+++ b/internal/dispatch/batches_test.go
@@ -19,6 +19,7 @@
 	"plumspindle/internal/deployment/pb"
 	"plumspindle/internal/http1"
 	"plumspindle/internal/lab/hosts"
+	"plumspindle/internal/path"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/sse"
 )
@@ -406,3 +407,23 @@
 		t.Error("two tenants share a cache")
 	}
 }
+
+// Where a leg can't be taken back its read ends after its client has left: both cells of the path's table that chat never reaches.
+func TestReadEndsAfterItsClientLeft(t *testing.T) {
+	r := batchRig(t, func(d deployment.Deployment) { d.Dispatching.MayCancel = false }, "prefill west", "decode west")
+	for _, h := range r.hosts {
+		h.serve = func(l *line) {
+			copied := *l
+			r.far.After(100*seam.Millisecond, func() { embeds(&copied) })
+		}
+	}
+	r.ends(r.post("/v1/embeddings", body(texts(3), "")), "streamed")
+	c := r.post("/v1/embeddings", body(texts(3), ""))
+	r.w.Run(50 * seam.Millisecond)
+	r.far.Do(c.conn.Abort)
+	r.w.Run(seam.Second)
+	r.idle()
+	if n, m := r.x.Reached[path.Reading][path.LegWhole], r.x.Reached[path.Leaving][path.LegWhole]; n == 0 || m == 0 {
+		t.Errorf("reached %d times while it was read, %d after its client left", n, m)
+	}
+}
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -185,7 +185,7 @@
 		for e, step := range path.Table[s] {
 			if step.Some {
 				t.Logf("%-10v %-16v %8d", path.State(s), path.Event(e), all[s][e])
-				if all[s][e] == 0 && path.Event(e) != path.LegWhole { // TestBatchesThroughBreaks reaches those
+				if all[s][e] == 0 && path.Event(e) != path.LegWhole { // TestReadEndsAfterItsClientLeft reaches those
 					t.Errorf("%v in %v was never reached", path.Event(e), path.State(s))
 				}
 			}
