--- a/internal/batch/call.go
+++ b/internal/batch/call.go
@@ -116,9 +116,6 @@
 	return no, c.parts[no].inputs
 }
 
-// Inputs are a part's.
-func (c *Call) Inputs(no PartNo) []int { return c.parts[no].inputs }
-
 // Done takes a part that is back.
 func (c *Call) Done(no PartNo) Next {
 	c.out--
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -482,9 +482,6 @@
 	on()
 }
 
-// Give is the whole final answer.
-func (r *Reply) Give(status int, body []byte, fields ...string) { r.finish(status, body, fields...) }
-
 // Chunk hands on one usable event of a writer. It tells whether the client lags behind.
 func (r *Reply) Chunk(data []byte) (lags bool) {
 	if r.done {
