--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -135,7 +135,7 @@
 		limit := l.Limit()
 		for range 5 {
 			now += second
-			l.Chat(now, true)
+			l.Chat(now, second, second)
 		}
 		if l.Limit() > max(limit/8, 1) {
 			t.Errorf("%d places: with chat late the limit is %d, was %d", places, l.Limit(), limit)
--- a/internal/batch/call.go
+++ b/internal/batch/call.go
@@ -20,6 +20,11 @@
 	blamedMost = 2 // failures that the hosts are blamed for, before a part is halved to find the input that does it
 )
 
+const (
+	HostsMost  = 2 // hosts that fail on one part before it is taken back, to be halved or given up
+	QueuedMost = 4 // parts of one tenant that may wait for its turn at the gate
+)
+
 // PartNo names a part of one call.
 type PartNo int
 
--- a/internal/batch/limiter.go
+++ b/internal/batch/limiter.go
@@ -13,6 +13,7 @@
 	grow        = 1.0    // parts for each whole limit of them that came back in time
 	cut         = 0.85   // of the limit, where parts take longer;
 	cutLate     = 0.5    // where a generation of chat begins late
+	chatLate    = 0.5    // of its SLO time, after which chat that begins is late
 	cutEvery    = 100 * millisecond
 	lateRest    = 500 * millisecond // without growth after that
 	probeEvery  = 4 * second        // few parts are out for a while, so that
@@ -107,10 +108,10 @@
 // Taken back: it was cancelled, and says nothing.
 func (l *Limiter) Taken() { l.out-- }
 
-// Chat tells of an interactive generation that begins; late, that it begins later than it should.
-func (l *Limiter) Chat(now Micros, late bool) {
+// Chat tells of an interactive generation that begins, after so long, with its SLO time.
+func (l *Limiter) Chat(now, took, slo Micros) {
 	l.chatAt = now
-	if late {
+	if float64(took) > chatLate*float64(slo) {
 		l.shrink(now, cutLate)
 		l.restTo = now + lateRest
 	}
--- a/internal/dispatch/batches.go
+++ b/internal/dispatch/batches.go
@@ -22,8 +22,6 @@
 const (
 	partAnswer  = 32 << 20 // bytes of a host's answer to a part
 	cachesMost  = 64       // tenants' caches at once; the one that was not used for longest makes way
-	partHosts   = 2        // hosts that fail on one part before it is halved, or given up
-	queuedMost  = 4        // parts of one tenant that may wait for its turn at the gate
 	batchMargin = 20 * seam.Millisecond
 )
 
@@ -189,7 +187,11 @@
 	v, some := c.cache.Get(c.ask.CacheKey(i, c.dimensions))
 	if some {
 		c.answer.Vectors[i] = slices.Clone(v)
-		c.ask.Drop(i)
+		c.x.loop.Later(func() { // it may read on in the body, and this is called while its inputs are parted
+			if p := c.ask.Drop(i); p != nil {
+				c.fail(p)
+			}
+		})
 	}
 	return some
 }
@@ -232,7 +234,7 @@
 		t := b.turns[0]
 		b.turns = append(b.turns[1:], t)
 		c := t.next(now)
-		if c == nil || t.queued >= queuedMost {
+		if c == nil || t.queued >= batch.QueuedMost {
 			idle++
 			continue
 		}
--- a/internal/dispatch/batches_test.go
+++ b/internal/dispatch/batches_test.go
@@ -427,3 +427,21 @@
 		t.Errorf("reached %d times while it was read, %d after its client left", n, m)
 	}
 }
+
+// Vectors that are kept make room for more of a coded body while its inputs are parted; none is passed over for that.
+func TestKeptVectorsInACodedBody(t *testing.T) {
+	r := batchRig(t, func(d deployment.Deployment) { d.Batches = &pb.Batches{Cache: 4 << 20, Window: 16 << 10} }, "prefill west", "decode west")
+	inputs := texts(900)
+	for i := range inputs {
+		inputs[i] += strings.Repeat(" long", 40)
+	}
+	for _, n := range []int{600, 900} { // the first ones are kept when all are asked for
+		var zipped bytes.Buffer
+		z := gzip.NewWriter(&zipped)
+		_, _ = z.Write(body(inputs[:n], ""))
+		_ = z.Close()
+		c := r.post("/v1/embeddings", zipped.Bytes(), "Content-Encoding", "gzip")
+		r.ends(c, "streamed")
+		c.vectors(t, inputs[:n], 256)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -320,9 +320,6 @@
 	return names
 }
 
-// chatLate is the part of its SLO time after which chat that begins is taken to be late: batches then make room.
-const chatLate = 0.5
-
 // Fields of a request's head that are the router's own.
 const (
 	limitField = "x-time-limit-ms" // a client gives up sooner than its product's time limit
@@ -551,7 +548,7 @@
 		g.state, g.mayLie = "", nil
 	case path.TellStarted:
 		slo := x.place.Products[g.product].SLO + choice.Micros(float64(x.place.Products[g.product].SLOPer1000)*float64(g.ask.Tokens)/1000)
-		x.batches.limiter.Chat(now, float64(now-g.taken) > chatLate*float64(slo))
+		x.batches.limiter.Chat(now, now-g.taken, slo)
 		g.leg.Started()
 		if !g.ask.Stream {
 			// The client of a whole answer has nothing yet, so its time goes on.
@@ -731,7 +728,7 @@
 			g.part.broken++
 		}
 		g.part.bad = g.part.bad || o.Bad
-		if g.part.bad || g.part.broken == partHosts { // no other host would do better; the call sees to what is the matter
+		if g.part.bad || g.part.broken == batch.HostsMost { // no other host would do better; the call sees to what is the matter
 			x.take(g, path.ClientLeft)
 		}
 	}
--- a/internal/lab/load/batch.go
+++ b/internal/lab/load/batch.go
@@ -124,6 +124,7 @@
 	body    []byte
 	sent    bool
 	ended   bool
+	whole   bool // the message has ended
 	exact   bool
 	cause   string
 }
@@ -147,6 +148,10 @@
 
 func (t *batchTry) Drained() {}
 func (t *batchTry) Data(b []byte) {
+	if t.whole {
+		t.note("after", "bytes")
+		return
+	}
 	if err := t.parser.Feed(b, t); err != nil && !t.ended {
 		t.cause = err.Error()
 		t.final("malformed")
@@ -163,6 +168,7 @@
 }
 
 func (t *batchTry) End() error {
+	t.whole = true
 	if t.ended {
 		return nil
 	}
--- a/internal/program/sim.go
+++ b/internal/program/sim.go
@@ -295,9 +295,9 @@
 
 func timeline(e record.Event) string {
 	text := fmt.Sprintf("%-9s", e.What)
-	for name, v := range map[string]string{"generation": e.Gen, "leg": e.Leg, "dispatcher": e.Dispatcher, "how": e.How, "kind": e.Kind} {
-		if v != "" {
-			text += " " + name + " " + v
+	for _, v := range [][2]string{{"generation", e.Gen}, {"leg", e.Leg}, {"dispatcher", e.Dispatcher}, {"kind", e.Kind}, {"how", e.How}} {
+		if v[1] != "" {
+			text += " " + v[0] + " " + v[1]
 		}
 	}
 	if e.Host > 0 {
