--- a/internal/tenancy/gate.go
+++ b/internal/tenancy/gate.go
@@ -301,13 +301,13 @@
 		return perS / parts
 	}
 	a.gens.fill(now, rate(l.PerS), max(rate(l.PerS)*burst, 1))
-	if a.gens.level < 1 {
+	if l.PerS > 0 && a.gens.level < 1 { // a limit that was lifted binds no more, though its bucket is still empty
 		return TooManyPerS, a.gens.after(1, rate(l.PerS))
 	}
 	// A generation larger than the whole bucket goes when the bucket is full, and leaves a debt.
 	most := rate(l.TokensPerS) * burst
 	a.tokens.fill(now, rate(l.TokensPerS), most)
-	if want := min(cost, most); a.tokens.level < want {
+	if want := min(cost, most); l.TokensPerS > 0 && a.tokens.level < want {
 		return TooManyTokens, a.tokens.after(want, rate(l.TokensPerS))
 	}
 	return None, 0
