The store takes writes again once its disk has room, and forgets what it refused

Seen: after one failed write, short write or sync the store acknowledged nothing until the process was started anew, and what it had refused stayed in its memory as if it counted. Ruled out: trying the sync again, as the kernel may have dropped the data; truncating the torn end, which trusts the same file. Lines at fault: Store.fail (no way back, no undo), Store.Compact (a number taken without a record), Files.Write (half a file left holding the room that is missing).

--- a/internal/store/files.go
+++ b/internal/store/files.go
@@ -149,6 +149,7 @@
 		}
 		_, err = o.Write(build())
 		if err = errors.Join(err, o.Sync(), o.Close()); err != nil {
+			_ = os.Remove(part) // half a file would hold the room that is missing
 			return err
 		}
 		if err := os.Rename(part, path); err != nil {
--- a/internal/store/history_test.go
+++ b/internal/store/history_test.go
@@ -88,6 +88,7 @@
 			before[name] = b
 		}
 		out := map[int]*porcupine.Operation{}
+		var cut []*porcupine.Operation
 		answered := func(client int, o *porcupine.Operation) func(error) {
 			return func(err error) {
 				if err == nil {
@@ -162,8 +163,16 @@
 			if err != nil && !errors.Is(err, ErrFailed) {
 				t.Fatalf("seed %d: %v", seed, err)
 			}
-			if chance.Intn(150) == 0 {
+			switch {
+			case chance.Intn(150) == 0:
 				m.fault = []error{syscall.ENOSPC, syscall.EIO}[chance.Intn(2)]
+			case s.Failed() != nil && chance.Intn(5) == 0:
+				m.fault = nil                                          // there is room again
+				for _, client := range slices.Sorted(maps.Keys(out)) { // what has failed stays unanswered; its client goes on
+					cut = append(cut, out[client])
+					delete(out, client)
+				}
+				s.Heal(func(error) {})
 			}
 		}
 		if chance.Intn(3) == 0 {
@@ -171,7 +180,10 @@
 		}
 		at++
 		for _, client := range slices.Sorted(maps.Keys(out)) {
-			if o := out[client]; !o.Input.(step).reads {
+			cut = append(cut, out[client])
+		}
+		for _, o := range cut {
+			if !o.Input.(step).reads {
 				o.Output, o.Return = seen{unknown: true}, at
 				all = append(all, *o)
 			}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,7 +46,7 @@
 // Errors that callers tell apart.
 var (
 	ErrFull     = errors.New("the store is full")
-	ErrFailed   = errors.New("the store has failed; nothing more is acknowledged until it is opened again")
+	ErrFailed   = errors.New("the store has failed; nothing more is acknowledged until it is healed")
 	ErrConflict = errors.New("a condition does not hold")
 	ErrCorrupt  = errors.New("the store is corrupt")
 )
@@ -71,6 +71,9 @@
 	bytes  int
 	seq    uint64 // of the last record
 	failed error
+	undo   []Op   // what the changes that are not durable yet replaced, in their order
+	out    int    // of these, those of the write that is out
+	kept   uint64 // the last record that is durable
 
 	segment  uint64 // number of the one appended to
 	size     int    // of it
@@ -80,6 +83,7 @@
 	waiting  []func(error)
 	writing  bool
 	shrinks  bool // a snapshot is being written
+	heals    bool // one that ends a failure is
 	Stats    Stats
 }
 
@@ -178,6 +182,7 @@
 	if s.segment == 0 {
 		s.segment = 1
 	}
+	s.kept = s.seq
 	return s, nil
 }
 
@@ -348,6 +353,8 @@
 	}
 	s.seq++
 	for _, o := range ops {
+		old, _ := s.index.Get(o.Key)
+		s.undo = append(s.undo, Op{o.Key, old})
 		s.change(o, o.Value == nil)
 		s.Stats.User += len(o.Key) + len(o.Value)
 	}
@@ -381,6 +388,8 @@
 	done := s.waiting
 	s.group, s.waiting = nil, nil
 	s.writing = true
+	s.out = len(s.undo)
+	last := s.seq
 	s.size += len(b)
 	s.log += len(b)
 	s.Stats.Groups++
@@ -388,10 +397,12 @@
 	s.disk.Append(segmentName(s.segment), b, func(err error) {
 		s.writing = false
 		if err != nil {
-			// The data may be gone from the kernel although a later sync would succeed. Nothing is tried again.
+			// The data may be gone from the kernel although a later sync would succeed. This file is not tried again.
 			s.fail(err, done)
 			return
 		}
+		s.undo = slices.Delete(s.undo, 0, s.out)
+		s.out, s.kept = 0, last
 		for _, f := range done {
 			f(nil)
 		}
@@ -400,8 +411,13 @@
 	})
 }
 
+// fail takes back what is not durable, so that nobody goes on from what was refused, and tells so.
 func (s *Store) fail(err error, done []func(error)) {
 	s.failed = err
+	for _, o := range slices.Backward(s.undo) {
+		s.change(o, o.Value == nil)
+	}
+	s.undo, s.out, s.seq = nil, 0, s.kept
 	err = fmt.Errorf("%w: %w", ErrFailed, err)
 	done = append(done, s.waiting...)
 	s.waiting, s.group = nil, nil
@@ -410,6 +426,29 @@
 	}
 }
 
+// Heal takes a store that has failed into service again, once there is room: what is durable is written as a snapshot of its
+// own, and the log that ended in the failure, with whatever stands at its torn end, is dropped. Nothing else is trusted: a sync
+// that succeeds after one that failed does not mean that the data is there. Where this fails too it may be called again; who
+// calls it sees to the pauses, as the store has no clock.
+func (s *Store) Heal(done func(error)) {
+	switch {
+	case s.failed == nil:
+		done(nil)
+		return
+	case s.heals || s.shrinks:
+		done(ErrFailed) // one is under way
+		return
+	}
+	s.heals = true
+	s.snap(s.segment+1, func(err error) {
+		s.heals = false
+		if err == nil {
+			s.segment, s.size, s.log, s.failed = s.snapshot, 0, 0, nil
+		}
+		done(err)
+	})
+}
+
 // shrink writes a snapshot where the log has grown beyond its bound and beyond what lives, and then drops the segments that
 // are in it. Writes go on into a segment of their own.
 func (s *Store) shrink() {
@@ -429,24 +468,31 @@
 	}
 	s.write()
 	s.shrinks = true
-	s.segment++
+	if s.size > 0 { // a segment without a record is never made: a later one would seem to follow on nothing
+		s.segment++
+	}
 	s.size, s.log = 0, 0
-	number := s.segment
 	// It holds all that was submitted, also what is not written yet; that comes once more in the log, and is passed over.
+	s.snap(s.segment, func(err error) {
+		s.shrinks = false // where it failed the log is whole without it; only space is lost until the next one
+		if done != nil {
+			done(err)
+		}
+	})
+}
+
+// snap writes a snapshot of what is held now, and drops all that is in it.
+func (s *Store) snap(number uint64, done func(error)) {
 	seq, all, size := s.seq, s.index.Snapshot(), 0
 	s.disk.Write(snapshotName(number), func() []byte {
 		b := writeSnapshot(all, seq)
 		size = len(b)
 		return b
 	}, func(err error) {
-		s.shrinks = false
 		s.Stats.Snapshots++
 		s.Stats.Written += size
 		if err != nil {
-			// The log is whole without it; only space is lost until the next one.
-			if done != nil {
-				done(err)
-			}
+			done(err)
 			return
 		}
 		s.snapshot = number
@@ -459,9 +505,7 @@
 				}
 			}
 		}
-		if done != nil {
-			done(err)
-		}
+		done(err)
 	})
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -19,6 +19,7 @@
 	past   []operation
 	answer []func()
 	fault  error // of the operations from now on
+	torn   int   // bytes that one which fails leaves written, at most
 	told   int   // operations whose success was told
 }
 
@@ -52,6 +53,8 @@
 	if err == nil {
 		m.past = append(m.past, o)
 		o.to(m.files, len(o.data))
+	} else if n := min(m.torn, len(o.data)); o.what == "append" && n > 0 {
+		o.to(m.files, n)
 	}
 	m.answer = append(m.answer, func() {
 		if err == nil {
@@ -264,11 +267,12 @@
 			m.out(1)
 		}
 		m.out(1000)
-		m.fault = nil
-		m.out(1000)
-		if s.Failed() == nil {
+		if s.Heal(func(error) {}); s.Failed() == nil {
 			t.Fatal("a failed disk was not noticed")
 		}
+		m.out(1000) // there is no room for that either
+		m.fault = nil
+		m.out(1000)
 		again, err := Open(m, small)
 		if err != nil || int(again.seq) < acked {
 			t.Fatalf("fault at %d: %v, record %d, %d acknowledged", fail*3, err, again.seq, acked)
@@ -276,6 +280,107 @@
 	}
 }
 
+// A disk that writes short, fails a sync or has no room, again and again, and each time has room again: nothing that was
+// acknowledged is lost, what was refused is not there, the store takes writes again without being opened anew, and a start finds
+// the same, whatever stood at the torn end of the log.
+func TestHealsWhenThereIsRoom(t *testing.T) {
+	for seed := range int64(60) {
+		chance := rand.New(rand.NewSource(seed))
+		m := newMemory()
+		s, _ := Open(m, small)
+		want := map[string]string{}
+		for round := range 12 {
+			for range 1 + chance.Intn(60) {
+				key, value := fmt.Sprint("k", chance.Intn(30)), fmt.Sprint(chance.Intn(1000))
+				if err := s.Commit([]Op{{key, []byte(value)}}, nil, false, func(err error) {
+					if err == nil {
+						want[key] = value
+					}
+				}); err != nil {
+					t.Fatalf("seed %d, round %d: %v", seed, round, err)
+				}
+				if chance.Intn(3) == 0 {
+					m.out(1 + chance.Intn(4))
+				}
+			}
+			m.out(1000)
+			m.torn, m.fault = chance.Intn(40), errors.New("no space left on device")
+			lost := 0
+			for i := range 3 {
+				if err := s.Commit([]Op{{fmt.Sprint("k", i), []byte("never")}, {"new", []byte("never")}}, nil, chance.Intn(2) == 0, func(err error) {
+					if err != nil {
+						lost++
+					}
+				}); err != nil && !errors.Is(err, ErrFailed) {
+					t.Fatal(err)
+				}
+				m.out(chance.Intn(2))
+			}
+			s.Flush()
+			m.out(1000)
+			if lost == 0 {
+				t.Fatalf("seed %d: nothing was refused", seed)
+			}
+			tried := chance.Intn(3)
+			for range tried {
+				s.Heal(func(err error) {
+					if err == nil {
+						t.Error("healed on a disk without room")
+					}
+				})
+				m.out(10)
+			}
+			m.fault = nil
+			if chance.Intn(4) == 0 { // it dies, instead
+				if s, _ = Open(m, small); s == nil || s.index.Len() < len(want) {
+					t.Fatalf("seed %d: something is lost", seed)
+				}
+				for i := range 30 { // what was refused may be there or not; what was acknowledged is, unless it was replaced
+					if v, some := s.Get(fmt.Sprint("k", i)); want[fmt.Sprint("k", i)] != "" && (!some || string(v) != want[fmt.Sprint("k", i)] && string(v) != "never") {
+						t.Fatalf("seed %d: k%d is %s, not %s", seed, i, v, want[fmt.Sprint("k", i)])
+					}
+				}
+				want = map[string]string{}
+				s.Scan("", func(k string, v []byte) bool { want[k] = string(v); return true })
+				continue
+			}
+			s.Heal(func(err error) {
+				if err != nil {
+					t.Error(err)
+				}
+			})
+			m.out(1000)
+			for _, now := range []*Store{s, reopened(t, m)} {
+				if now.Len() != len(want) || now.Failed() != nil {
+					t.Fatalf("seed %d, round %d: %d keys, not %d, failed %v", seed, round, now.Len(), len(want), now.Failed())
+				}
+				for k, v := range want {
+					if got, _ := now.Get(k); string(got) != v {
+						t.Fatalf("seed %d, round %d: %s is %q, not %q", seed, round, k, got, v)
+					}
+				}
+			}
+			if s.bytes != reopened(t, m).bytes {
+				t.Fatalf("seed %d: %d bytes are counted", seed, s.bytes)
+			}
+		}
+	}
+}
+
+// reopened is what a start would find; the disk is left as it is.
+func reopened(t *testing.T, m *memory) *Store {
+	t.Helper()
+	c := newMemory()
+	for name, b := range m.files {
+		c.files[name] = b
+	}
+	s, err := Open(c, small)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // Conditions, bounds and transactions: all or nothing.
 func TestConditionsAndBounds(t *testing.T) {
 	m := newMemory()
@@ -409,3 +514,32 @@
 		t.Fatalf("%v; %d keys", err, s.Len())
 	}
 }
+
+// Two snapshots fail with nothing written between them; what is acknowledged afterwards is there at the next start.
+func TestTwoFailedSnapshots(t *testing.T) {
+	m := newMemory()
+	s, _ := Open(m, small)
+	commit := func(v string) {
+		t.Helper()
+		if err := s.Commit([]Op{{"k", []byte(v)}}, nil, false, func(err error) {
+			if err != nil {
+				t.Error(err)
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+		m.out(10)
+	}
+	commit("1")
+	m.fault = errors.New("no space left on device")
+	for range 2 {
+		s.Compact(nil)
+		m.out(10)
+	}
+	m.fault = nil
+	commit("2")
+	again, err := Open(m, small)
+	if err != nil || dump(again) != "k=2;" {
+		t.Fatalf("opened again: %v", err)
+	}
+}
--- a/internal/virtual/disk.go
+++ b/internal/virtual/disk.go
@@ -14,9 +14,13 @@
 	l     *Loop
 	files map[string][]byte
 	busy  seam.Micros // until when what was asked for before takes
-	// Sync is how long making something durable takes; Fault, where it is set, is the end of all that is asked for.
+	// Sync is how long making something durable takes; Fault, where it is set, is the end of all that is asked for. Torn has
+	// what fails leave a part of it written, as a short write or a failed sync does.
 	Sync  seam.Micros
 	Fault error
+	Torn  bool
+	// Room, where it is above 0, is how many bytes all files may have; a write past it fails with what fitted in written.
+	Room int
 	// Lies has it answer at once, and have it durable later: what is killed in between is lost though it was answered.
 	Lies bool
 }
@@ -50,9 +54,20 @@
 	return nil
 }
 
+// ErrNoRoom is the end of a write for which there is no room.
+var ErrNoRoom = errors.New("no space left on device")
+
+// Used is how many bytes the files have.
+func (f *Folder) Used() (n int) {
+	for _, b := range f.files {
+		n += len(b)
+	}
+	return n
+}
+
 // do carries something out after its time. A process that is killed meanwhile leaves it torn at a place drawn by chance.
 func (f *Folder) do(size int, apply func(n int), done func(error)) {
-	l, fault := f.l, f.Fault
+	l, fault, torn := f.l, f.Fault, f.Torn
 	f.busy = max(f.busy, f.w.now) + f.Sync
 	if f.Lies {
 		f.busy += 500 * seam.Millisecond
@@ -65,7 +80,13 @@
 		case l.dead:
 			apply(f.w.rand.Intn(size + 1))
 		case fault != nil:
+			if torn && size > 0 {
+				apply(f.w.rand.Intn(size))
+			}
 			l.call(func() { done(fault) })
+		case f.Room > 0 && size > 1 && f.Used()+size > f.Room: // removals have a size of 1, and make room
+			apply(max(f.Room-f.Used(), 0))
+			l.call(func() { done(ErrNoRoom) })
 		default:
 			apply(size)
 			l.call(func() { done(nil) })
