A disk that stalls pins no state, and one that had no room needs no restart

Ruled out: NeverSent in place of Full with note 1, as the module sends it on to the next writer with the state still held. Lines at fault: intend (no bound on the wait), record (no way back), ended (only clientLeft asked who waits). Change: half of let_go_ms after the order the state is let go of and the module reads again or gives up; a failed record is healed each 0.5 s; what has not run and nobody waits for is dropped.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,6 +103,7 @@
 	repeats *repeat.Book
 	runs    map[*repeat.Entry]*gen // generations with a key that are not answered yet
 	leaving func()                 // what to do once nothing runs any more
+	healing bool                   // the record of intents has failed, and is tried again
 	Counts
 }
 
@@ -701,6 +702,7 @@
 		}
 		g.leg = x.engine.Write(w.host, name, g.clientID, g.ask, g.state, g.ask.Most, w.allow, hear)
 	})
+	x.late(g, no)
 }
 
 // ended takes the end of a leg.
@@ -737,6 +739,9 @@
 			Int("ending", int(o.How)).Str("why", o.Why).Msg("leg ended")
 	}
 	x.take(g, e, what{outcome: o})
+	if len(g.replies) == 0 && g.part == nil && (g.State == path.Held || g.State == path.Reading) {
+		x.take(g, path.ClientLeft) // its client left while it was written, and it is not: what has not run need not go on
+	}
 }
 
 var usageMark = []byte(`"usage":{`)
--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -4,7 +4,10 @@
 	"encoding/binary"
 	"slices"
 
+	"plumspindle/choice"
 	"plumspindle/internal/deployment/pb"
+	"plumspindle/internal/engine"
+	"plumspindle/internal/path"
 	"plumspindle/internal/repeat"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/store"
@@ -108,13 +111,57 @@
 		}
 	}
 	key := g.repeat.Key()
-	err := x.post.Intents.Commit([]store.Op{{Key: intentPrefix + string(key[:]), Value: intentValue(g.repeat.Request(), 0, x.window(g))}}, nil, false, answered)
+	err := x.post.Intents.Commit([]store.Op{{Key: intentPrefix + string(key[:]), Value: intentValue(g.repeat.Request(), 0, x.window(g))}}, nil, false, func(err error) {
+		if err != nil {
+			x.heal()
+		}
+		answered(err)
+	})
 	if err != nil {
 		x.post.Log.Error().Err(err).Msg("an intent can't be kept; the generation is not run")
+		x.heal()
 		x.loop.Later(func() { answered(err) })
 	}
 }
 
+// healEvery is the pause between tries to write again to a disk that has failed. Each writes all that is kept.
+const healEvery = 500 * seam.Millisecond
+
+// heal has the record of intents taken into service again once the disk takes writes, without a restart.
+func (x *Dispatcher) heal() {
+	if x.healing || x.post.Intents.Failed() == nil {
+		return
+	}
+	x.healing = true
+	x.post.Log.Error().Err(x.post.Intents.Failed()).Msg("the record of intents has failed; keyed generations are not run until it takes writes again")
+	var try func()
+	try = func() {
+		x.post.Intents.Heal(func(err error) {
+			if err != nil {
+				x.loop.After(healEvery, try)
+				return
+			}
+			x.healing = false
+			x.post.Log.Info().Msg("the record of intents takes writes again")
+		})
+	}
+	x.loop.After(healEvery, try)
+}
+
+// late bounds how long a write may wait for its record while its state waits at the reader: a disk that stalls would else pin
+// it there with no leg out. The state is let go of, as it is where a writer finds none, and the module reads again or gives up.
+func (x *Dispatcher) late(g *gen, no choice.LegNo) {
+	if g.intent.then == nil {
+		return
+	}
+	x.loop.After(seam.Micros(x.Rules.LetGoMs)*seam.Millisecond/2, func() {
+		if g.intent.then != nil && no == g.legs-1 && g.State == path.Writing {
+			g.intent.then = nil
+			x.ended(g, engine.Outcome{How: choice.Full, Note: 1, Memory: choice.NoReport, Why: "not sent: its intent is not kept in time"})
+		}
+	})
+}
+
 // keepEnd keeps when a key is to be forgotten. It is written with the next group: lost, the key is remembered for longer.
 func (x *Dispatcher) keepEnd(e *repeat.Entry, window seam.Micros) {
 	if x.post.Intents == nil {
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -379,3 +379,21 @@
 		}
 	}
 }
+
+// The client of a keyed generation leaves while it is being written, and the writer then says that it has not run it: nobody waits,
+// and nothing of it is left to wait for. Its key is free.
+func TestRefusedAfterItsClientLeft(t *testing.T) {
+	r := newRig(t, nil, "prefill west", "decode west")
+	r.hosts[1].serve = func(l *line) {
+		r.far.After(100*seam.Millisecond, func() { l.answer(429, `{"error":{"code":"full"}}`) })
+	}
+	c := r.ask("review-post", "Idempotency-Key", "k")
+	r.w.Run(50 * seam.Millisecond)
+	r.far.Do(c.conn.Abort)
+	r.w.Run(100 * seam.Millisecond)
+	if err := r.x.Check(); err != nil || r.x.Running() > 0 || r.hosts[0].releases() != 1 {
+		t.Errorf("%v; left %v; %d releases", err, r.x.Remains(), r.hosts[0].releases())
+	}
+	r.hosts[1].serve = write
+	r.ends(r.ask("review-post", "Idempotency-Key", "k"), "streamed")
+}
