The administration keeps records again once its disk has room

Seen: after one failed write every change and report was refused (500 not_kept) until the administration was started anew, and the report of usage came again for ever. Line at fault: Kept.Save, which asked a failed store. Change: Save heals a failed store first. Test, failing before: TestRecordsWithoutRoom (no room and failed syncs in turn, five rounds: one report of six and one tenant of six were kept; now all six, nothing refused is there after a start). Virtual time.

--- a/internal/admin/files.go
+++ b/internal/admin/files.go
@@ -96,11 +96,22 @@
 	return nil
 }
 
-// Save commits changes together and waits until they are durable.
+// Save commits changes together and waits until they are durable. A store that has failed is healed first, if its disk takes
+// writes again: nobody has to restart the administration.
 func (k *Kept) Save(ops []store.Op) error {
+	if k.Failed() != nil {
+		if err := k.wait(func(done func(error)) error { k.Heal(done); return nil }); err != nil {
+			return err
+		}
+	}
+	return k.wait(func(done func(error)) error { return k.Commit(ops, nil, false, done) })
+}
+
+// wait asks the store for something and waits for the disk's answer.
+func (k *Kept) wait(ask func(done func(error)) error) error {
 	var answered bool
 	var failed error
-	if err := k.Commit(ops, nil, false, func(err error) { answered, failed = true, err }); err != nil {
+	if err := ask(func(err error) { answered, failed = true, err }); err != nil {
 		return err
 	}
 	for late := time.After(diskWithin); !answered; {
--- /dev/null
+++ b/internal/admin/room_test.go
@@ -0,0 +1,99 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"plumspindle/internal/http1"
+	"plumspindle/internal/store"
+	"plumspindle/internal/tenancy"
+	"plumspindle/internal/virtual"
+)
+
+// posted is a folder of the world whose answers go to a channel, as those of the real one do.
+type posted struct {
+	*virtual.Folder
+	w  *virtual.World
+	to chan func()
+}
+
+func (p *posted) Append(name string, b []byte, done func(error)) {
+	p.Folder.Append(name, b, func(err error) { p.to <- func() { done(err) } })
+	p.w.Run(1_000_000)
+}
+func (p *posted) Write(name string, build func() []byte, done func(error)) {
+	p.Folder.Write(name, build, func(err error) { p.to <- func() { done(err) } })
+	p.w.Run(1_000_000)
+}
+
+// The records' disk has no room for a while: a change is refused and not made, a report comes again, and both are taken once
+// there is room, without a restart. A start afterwards finds what was acknowledged and nothing that was refused.
+func TestRecordsWithoutRoom(t *testing.T) {
+	w := virtual.New(1)
+	folder := w.Folder()
+	open := func() (*Kept, *Admin) {
+		loop := w.Loop("admin")
+		k := &Kept{posted: make(chan func(), 16)}
+		var a *Admin
+		var err error
+		if k.Store, err = store.Open(&posted{folder.For(loop), w, k.posted}, store.Usual); err != nil {
+			t.Fatal(err)
+		}
+		loop.Do(func() { a, err = Start(loop, secret, nil, k, rand.New(rand.NewSource(1)), zerolog.Nop()) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k, a
+	}
+	k, a := open()
+	n := uint64(0)
+	report := func(want int) {
+		t.Helper()
+		body, _ := json.Marshal(tenancy.Report{Dispatcher: "d1", Number: n + 1, Used: []tenancy.Used{{Tenant: "a", Product: "p", Day: "d", Taken: 1}}})
+		got := a.takeReport(body)
+		if got.status != want {
+			t.Errorf("report %d: %+v, want %d", n+1, got, want)
+		}
+		if got.status == 200 {
+			n++
+		}
+	}
+	add := func(name string, want int) {
+		t.Helper()
+		r := &request{method: "POST", path: []string{"tenants"}, query: map[string]string{}, head: &http1.Head{}, body: []byte(fmt.Sprintf(`{"name":%q}`, name)),
+			who: caller{name: "ann", role: Operator}}
+		if got := a.call(r); got.status != want {
+			t.Errorf("tenant %s: %+v, want %d", name, got, want)
+		}
+	}
+	for round := range 5 {
+		report(200)
+		add(fmt.Sprint("kept", round), 201)
+		if round%2 == 0 {
+			folder.Room = folder.Used() + 9
+		} else {
+			folder.Fault, folder.Torn = errors.New("input/output error"), true
+		}
+		report(500)
+		add("refused", 500)
+		report(500)
+		folder.Room, folder.Fault = 0, nil
+	}
+	report(200)
+	add("last", 201)
+	if k.Failed() != nil {
+		t.Error("the store has failed for good")
+	}
+	_, a = open()
+	if used := a.ledger.Of(""); len(used) != 1 || used[0].Taken != n || n != 6 {
+		t.Errorf("kept usage: %+v after %d reports", used, n)
+	}
+	if names := a.registry.Names(); fmt.Sprint(names) != "[kept0 kept1 kept2 kept3 kept4 last]" {
+		t.Errorf("tenants after a start: %v", names)
+	}
+}
