Kept lists and tenants are written away from the loop, again until there is room

Seen: the list of hosts and the tenants were written by the dispatcher's one loop; a disk that stalls had every stream stand still. A list that could not be written was not tried again before the next change. Line at fault: serveCommand.start, whose Keep called os.WriteFile. Change: one goroutine a file writes the newest; what fails is tried again each second; half a file is removed.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -14,7 +14,6 @@
 	"math/rand"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"runtime/pprof"
@@ -143,8 +142,15 @@
 	StateDir   string        `type:"path" help:"Folder that keeps which generations with an Idempotency-Key may have run, so that a restart does not forget them."`
 	Profile    string        `type:"path" help:"File that a CPU profile of the whole run is written to."`
 
-	secret []byte
-	files  *store.Files
+	secret  []byte
+	files   *store.Files
+	keepers []*keeper
+}
+
+func (c *serveCommand) keeper(path string, spare bool, fault func(error)) func([]byte) {
+	k := newKeeper(path, spare, fault)
+	c.keepers = append(c.keepers, k)
+	return k.Keep
 }
 
 // Run serves until it is told to end.
@@ -181,6 +187,9 @@
 		return err
 	}
 	defer func() {
+		for _, k := range c.keepers {
+			k.Close()
+		}
 		if c.files != nil {
 			c.files.Close()
 		}
@@ -208,12 +217,7 @@
 			}
 			post.Kept = append(post.Kept, kept)
 		}
-		post.Keep = func(list []byte) {
-			_ = os.Rename(c.ListFile, c.ListFile+".1") // where there is none yet there is none before it
-			if err := replace(c.ListFile, list); err != nil {
-				s.log.Error().Err(err).Msg("the list is not kept")
-			}
-		}
+		post.Keep = c.keeper(c.ListFile, true, func(err error) { s.log.Error().Err(err).Msg("the list is not kept; it is tried again") })
 	}
 	post.Tenants, post.Secret = c.Tenants, c.secret
 	if c.Secret != "" {
@@ -228,11 +232,7 @@
 		if post.KeptTenants, err = os.ReadFile(c.TenantFile); err != nil && !errors.Is(err, os.ErrNotExist) {
 			s.log.Error().Err(err).Msg("the kept tenants can't be read")
 		}
-		post.KeepTenants = func(b []byte) {
-			if err := replace(c.TenantFile, b); err != nil {
-				s.log.Error().Err(err).Msg("the tenants are not kept")
-			}
-		}
+		post.KeepTenants = c.keeper(c.TenantFile, false, func(err error) { s.log.Error().Err(err).Msg("the tenants are not kept; it is tried again") })
 	}
 	err = nil
 	if c.StateDir != "" {
@@ -252,18 +252,6 @@
 	return x, ln, err
 }
 
-// replace writes a file in one step.
-func replace(path string, b []byte) error {
-	part := path + ".part"
-	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		return err
-	}
-	if err := os.WriteFile(part, b, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(part, path)
-}
-
 // leave lets what runs end.
 func leave(s *surroundings, loop *sockets.Loop, x *dispatch.Dispatcher, ln seam.Listener, within time.Duration) error {
 	done := make(chan struct{})
