Running out of descriptors pins no state, hangs no client, and passes without a restart

Clients could hold all descriptors, and idle connections to hosts kept one that a leg needed. Ruled out: the list's source and the administration, whose subscriptions try again by themselves; the accept loop's pause (it did not spin); nbio's dial, which fails at once and says why. Change: four descriptors are kept back, for releases (DialSpare) and for telling clients that it is busy (429); releases may have four connections beyond a host's most and go on for twice let_go_ms; idle connections make way for a leg; clients have half of what is not kept for the rest, past it they are throttled in words and their connections closed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,14 +53,19 @@
 	Secret  []byte // shared with the administration; keys are sealed with it
 	Plant   *Plant // a fault on purpose; nil in service
 
+	Descriptors int // that this process may have open; 0: not known, and clients may have all
+
 	KeptTenants []byte // what the administration last said, as KeepTenants was handed it
 	KeepTenants func([]byte)
 }
 
 const (
-	answerKept  = 256 << 10   // bytes of one answer that are kept for repeats
-	keepEvery   = seam.Second // the list is kept at most this often
-	unknownKind = 255         // a kind that the deployment does not name; the module sends nothing there
+	answerKept = 256 << 10   // bytes of one answer that are kept for repeats
+	keepEvery  = seam.Second // the list is kept at most this often
+	// descriptors that are for neither clients nor legs: the list's source, the administration, files, the poller. Of the rest
+	// clients may have half, as each generation needs one on either side.
+	descriptorsKept = 64
+	unknownKind     = 255 // a kind that the deployment does not name; the module sends nothing there
 )
 
 // Counts are what the dispatcher has done since its start.
@@ -154,7 +159,7 @@
 		hosts:    map[choice.HostID]roster.Entry{}}
 	x.engine = engine.New(loop, post.Name, post.Zone, engine.Trunks{Connect: ms(d.Dispatching.ConnectMs),
 		Idle: ms(d.Dispatching.IdleMs), Silence: ms(d.Dispatching.SilenceMs), Most: int(d.Dispatching.Connections),
-		Opening: int(d.Dispatching.Openings)})
+		Opening: int(d.Dispatching.Openings), LetGo: 2 * ms(d.Rules.LetGoMs)})
 	for i, p := range d.Products {
 		x.products[p.Name] = choice.ProductID(i)
 	}
@@ -165,6 +170,9 @@
 	patience := front.UsualPatience
 	patience.Message, patience.Stall, patience.Unsent = ms(d.Doors.MessageMs), ms(d.Doors.StallMs), int(d.Doors.UnsentMost)
 	x.front = front.New(loop, x, x.routes(), bounds, patience)
+	if n := post.Descriptors; n > 0 {
+		x.front.Most = max((n-min(descriptorsKept, n/2))/2, 1)
+	}
 	x.repeats = repeat.NewBook(int(d.Doors.RememberMost), int(d.Doors.RememberBytes), answerKept)
 	x.recall()
 	x.place = d.Module()
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/rs/zerolog"
 
+	"plumspindle/internal/deployment"
+	"plumspindle/internal/http1"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/store"
 	"plumspindle/internal/virtual"
@@ -119,3 +121,132 @@
 		r.ends(r.ask(product, "Idempotency-Key", "m"), "streamed")
 	}
 }
+
+// mute is a client that holds a connection and says nothing.
+type mute struct {
+	conn   seam.Conn
+	closed bool
+}
+
+func (m *mute) Opened()      {}
+func (m *mute) Data([]byte)  {}
+func (m *mute) Drained()     {}
+func (m *mute) Closed(error) { m.closed = true }
+
+// letGoWithin lets time pass until a reader has been told to let go of what it held, and fails where that takes too long.
+func (r *rig) letGoWithin(reader *script, before int, what string) {
+	r.t.Helper()
+	if !r.until(seam.Micros(r.d.Rules.LetGoMs)*seam.Millisecond, func() bool { return reader.releases() > before }) {
+		r.t.Errorf("%s: the reader was not told to let go in time", what)
+	}
+}
+
+// A state is to be let go of while all connections to its reader are in use, or no descriptor is left: neither pins it.
+func TestReleaseWithoutAConnection(t *testing.T) {
+	for name, fill := range map[string]func(r *rig){
+		"all connections in use": func(r *rig) {
+			r.hosts[0].serve = func(*line) {} // reads that go on
+			for range r.d.Dispatching.Connections {
+				r.ask("explain")
+			}
+		},
+		"no descriptor is left": func(r *rig) {
+			r.hosts[0].serve = func(*line) {}
+			r.ask("explain") // takes the idle connection
+			r.w.Run(20 * seam.Millisecond)
+			r.virtual().Descriptors = r.virtual().Open() + 2 // which are kept back; and what is given back is taken at once
+			for i := range 4000 {
+				r.far.Do(func() {
+					r.far.After(seam.Micros(i*250), func() { r.far.Dial(r.addr, seam.Second, &mute{}) })
+				})
+			}
+		},
+	} {
+		r := newRig(t, func(d deployment.Deployment) { d.Dispatching.Connections = 3 }, "prefill west", "decode west")
+		r.hosts[1].serve = func(*line) {}
+		c := r.ask("review-post", "x-time-limit-ms", "600")
+		r.w.Run(100 * seam.Millisecond) // read, and at the writer, which does not begin
+		if r.hosts[1].legs() != 1 {
+			t.Fatal("it is not being written")
+		}
+		fill(r)
+		r.w.Run(100 * seam.Millisecond)
+		before := r.hosts[0].releases()
+		r.until(seam.Second, func() bool { return len(c.finals) > 0 })
+		r.letGoWithin(r.hosts[0], before, name)
+		r.virtual().Descriptors = 0
+		r.hosts[0].serve, r.hosts[1].serve = read, write
+		r.w.Run(10 * seam.Second)
+		r.ends(r.ask("review-post"), "streamed")
+	}
+}
+
+// Idle connections to other hosts make room for one that is needed.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	r := newRig(t, nil, "prefill west", "decode west", "decode west", "decode west")
+	for range 12 { // each of the writers has an idle connection
+		r.ends(r.ask("explain"), "streamed")
+	}
+	for _, h := range r.hosts[1:3] {
+		r.told(h.entry("draining"))
+	}
+	r.told(r.hosts[0].entry("gone"))
+	next := &script{rig: r, id: 9, kind: "prefill", zone: "west", serve: read}
+	r.far.Do(next.up)
+	r.hosts = append(r.hosts, next)
+	r.told(next.entry("ready"))
+	r.w.Run(100 * seam.Millisecond)
+	r.virtual().Descriptors = r.virtual().Open() + 3 // its client's, and what is kept back
+	r.ends(r.ask("review-post"), "streamed")
+}
+
+// Clients that hold connections leave some for everybody else: past their part requests are throttled in words and the connection
+// closed, past an eighth more none is served; those that idle make way, and with room again all is as before.
+func TestClientsHaveTheirPartOfConnections(t *testing.T) {
+	r := newRig(t, nil, "prefill west", "decode west")
+	r.x.front.Most = 8
+	running := r.ask("explain")
+	r.hosts[1].serve = func(l *line) {
+		l.stream(event("Lamu ", ""))
+		r.far.After(3*seam.Second, func() {
+			l.conn.Write(http1.AppendLastChunk(http1.AppendChunk(nil, []byte(event("é", "stop")+"data: [DONE]\n\n"))))
+		})
+	}
+	r.w.Run(100 * seam.Millisecond)
+	var idle []*mute
+	for range 7 {
+		l := &mute{}
+		r.far.Do(func() { l.conn = r.far.Dial(r.addr, seam.Second, l) })
+		idle = append(idle, l)
+	}
+	r.w.Run(100 * seam.Millisecond)
+	c := r.ask("explain")
+	r.until(seam.Second, func() bool { return len(c.finals) > 0 })
+	if len(c.finals) != 1 || c.finals[0] != "throttled" || c.head.KeepAlive() || r.hosts[0].legs() != 1 {
+		t.Errorf("past the clients' part: %v, keeps the connection: %v, %d legs", c.finals, c.head.KeepAlive(), r.hosts[0].legs())
+	}
+	for range 4 {
+		r.far.Do(func() {
+			r.far.Dial(r.addr, seam.Second, &mute{})
+		})
+	}
+	c = r.ask("explain")
+	r.until(seam.Second, func() bool { return c.closed })
+	if len(c.finals) != 1 || c.finals[0] != "throttled" || r.virtual().Open() > 16 {
+		t.Errorf("past an eighth more: %v, %d connections", c.finals, r.virtual().Open())
+	}
+	r.w.Run(2 * seam.Second)
+	r.ask("explain") // one of those that idle makes way
+	r.w.Run(100 * seam.Millisecond)
+	if !idle[0].closed {
+		t.Error("the connection that idled longest is still there")
+	}
+	for _, l := range idle {
+		r.far.Do(l.conn.Abort)
+	}
+	r.ends(running, "streamed")
+	r.hosts[1].serve = write
+	r.w.Run(8 * seam.Second)
+	r.x.front.Most = 40
+	r.ends(r.ask("explain"), "streamed")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,14 +23,17 @@
 	Silence seam.Micros // a stream that has begun and brings nothing for so long counts as broken
 	Most    int         // connections to one host
 	Opening int         // of these, those that may be opening at once; legs beyond them wait, Connect at most
+	LetGo   seam.Micros // a host is told for so long to let go, where it can't be told at once
 }
 
 const (
 	answerMost  = 1 << 20   // bytes of a host's answer to a read, or of a refusal
 	eventMost   = 256 << 10 // bytes of one streamed event
-	letGoTries  = 3
 	letGoPause  = 60 * seam.Millisecond
 	letGoWithin = 200 * seam.Millisecond
+	letGoSpare  = 4 // connections to one host beyond the most, for letting go
+	roomTries   = 3 // connections that are closed so that one leg may have one
+	roomPause   = seam.Millisecond
 )
 
 // Engine holds the connections to all hosts.
@@ -40,6 +43,7 @@
 	zone   string
 	trunks Trunks
 	hosts  map[choice.HostID]*host
+	lastNo uint64
 }
 
 // New makes an engine without any host yet.
@@ -111,6 +115,8 @@
 	started bool
 	slow    bool        // its client lags, and it is not read
 	heard   seam.Micros // when its stream last brought something
+	letsGo  bool        // it tells the host to let go, and must not wait for legs
+	room    int         // connections that were closed for it
 
 	// What the answer has told so far.
 	head     *http1.Head
@@ -197,11 +203,15 @@
 		t.take(l, request)
 		return
 	}
-	if h.open >= e.trunks.Most {
+	most, dial := e.trunks.Most, e.loop.Dial
+	if l.letsGo {
+		most, dial = most+letGoSpare, e.loop.DialSpare
+	}
+	if h.open >= most {
 		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host's connections are all in use"}, false) })
 		return
 	}
-	if h.opening >= e.trunks.Opening {
+	if h.opening >= e.trunks.Opening && !l.letsGo {
 		w := &waiter{leg: l, request: request}
 		w.timer = e.loop.After(e.trunks.Connect, func() {
 			h.waiting = slices.DeleteFunc(h.waiting, func(o *waiter) bool { return o == w })
@@ -215,7 +225,23 @@
 	t := &trunk{engine: e, host: h, addr: h.addr, parser: http1.Parser{Response: true, Bounds: http1.Usual}}
 	t.leg, t.request = l, request
 	l.trunk = t
-	t.conn = e.loop.Dial(h.addr, e.trunks.Connect, t)
+	t.conn = dial(h.addr, e.trunks.Connect, t)
+}
+
+// makeRoom closes the connection to any host that has been idle for longest, so that its descriptor can be used.
+func (e *Engine) makeRoom() bool {
+	var oldest *trunk
+	for _, h := range e.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleNo < oldest.idleNo) {
+			oldest = h.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.retire()
+	oldest.conn.Close()
+	return true
 }
 
 // next serves legs that wait, as far as connections allow now.
@@ -312,6 +338,7 @@
 	down      bool
 	last      bool // the host closes after this answer
 	idleTimer seam.Timer
+	idleNo    uint64 // in the order in which connections fell idle
 }
 
 func (t *trunk) take(l *Leg, request []byte) {
@@ -376,6 +403,15 @@
 	}
 	if !t.sent {
 		t.leg, l.trunk = nil, nil
+		if e := t.engine; errors.Is(cause, seam.ErrNoDescriptors) && l.room < roomTries && e.makeRoom() {
+			l.room++
+			e.loop.After(roomPause, func() { // the descriptor is free by then
+				if !l.ended {
+					e.carry(l, t.request)
+				}
+			})
+			return
+		}
 		l.end(Outcome{How: choice.Unreachable, Why: cause.Error()}, false)
 		return
 	}
@@ -467,6 +503,8 @@
 		t.conn.Close()
 	} else {
 		t.host.idle = append(t.host.idle, t)
+		t.engine.lastNo++
+		t.idleNo = t.engine.lastNo
 		t.idleTimer = t.engine.loop.After(t.engine.trunks.Idle, func() {
 			t.retire()
 			t.conn.Close()
@@ -477,24 +515,25 @@
 	return nil
 }
 
-// LetGo has a host drop whatever it holds for some legs. It is tried again where it may not have arrived; a host
-// that can't be reached at all lets go by its own lease.
+// LetGo has a host drop whatever it holds for some legs. It is tried again where it may not have arrived, and may have a
+// connection and a descriptor beyond those that legs may use, as a state must not be pinned by want of either; a host that can't
+// be reached at all lets go by its own lease.
 func (e *Engine) LetGo(id choice.HostID, names []string) {
 	h := e.hosts[id]
 	if h == nil || len(names) == 0 {
 		return
 	}
-	e.letGo(h, []byte(`{"request_ids":["`+strings.Join(names, `","`)+`"]}`), letGoTries)
+	e.letGo(h, []byte(`{"request_ids":["`+strings.Join(names, `","`)+`"]}`), e.loop.Now()+e.trunks.LetGo)
 }
 
-func (e *Engine) letGo(h *host, body []byte, tries int) {
-	if tries == 0 || h.addr == "" {
+func (e *Engine) letGo(h *host, body []byte, until seam.Micros) {
+	if h.addr == "" {
 		return
 	}
-	l := &Leg{engine: e, host: h, reads: true, memory: choice.NoReport, most: answerMost}
+	l := &Leg{engine: e, host: h, reads: true, letsGo: true, memory: choice.NoReport, most: answerMost}
 	l.hear.Ended = func(o Outcome) {
-		if l.head == nil || l.head.Status != 200 {
-			e.loop.After(letGoPause, func() { e.letGo(h, body, tries-1) })
+		if (l.head == nil || l.head.Status != 200) && e.loop.Now()+letGoPause < until {
+			e.loop.After(letGoPause, func() { e.letGo(h, body, until) })
 		}
 	}
 	l.allow = e.loop.After(letGoWithin, func() { l.end(Outcome{How: choice.TimedOut}, true) })
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -120,8 +120,13 @@
 	patience Patience
 	clients  map[*client]bool
 	leaving  bool
+	lastNo   uint64
 	// Open is how many requests wait for their final answer.
 	Open int
+	// Most, where it is above 0, is how many connections clients may have. Requests on more are throttled, and their connections
+	// closed; connections beyond an eighth more are not served at all. What hosts, the list's source and the administration are
+	// reached by must not run out because clients hold all there is.
+	Most int
 }
 
 // New makes one; its Accept goes to Listen. Routes are by path; one that ends in a slash takes all paths below it.
@@ -173,18 +178,66 @@
 	timer  seam.Timer
 	out    []byte
 	over   bool // nothing more is read
+	no     uint64
+	idle   seam.Micros // since when it has waited for a request
 }
 
 func (c *client) Opened() {
-	if c.front.leaving {
+	f := c.front
+	if f.leaving {
 		c.over = true
 		c.conn.Close()
 		return
 	}
-	c.front.clients[c] = true
+	if f.Most > 0 && len(f.clients) >= f.Most {
+		f.dropIdle()
+	}
+	if f.Most > 0 && len(f.clients) >= f.Most+f.Most/8+1 {
+		c.over = true
+		c.conn.Write(Busy())
+		c.wait(busyFor, func() { c.conn.Close() }) // what it sends is taken meanwhile, as a reset would overtake the answer
+		return
+	}
+	f.lastNo++
+	c.no, c.idle = f.lastNo, f.loop.Now()
+	f.clients[c] = true
 	c.wait(c.front.patience.Idle, func() { c.conn.Close() })
 }
 
+// crowded tells whether clients have all the connections that they may have.
+func (f *Front) crowded() bool { return f.Most > 0 && len(f.clients) > f.Most }
+
+// dropIdle closes the connection that has waited longest for a request, where that is a while.
+func (f *Front) dropIdle() {
+	var oldest *client
+	for c := range f.clients {
+		if c.reply == nil && !c.over && c.parser.Idle() && f.loop.Now()-c.idle > idleLeast && (oldest == nil || c.no < oldest.no) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.over = true
+		oldest.conn.Close()
+		delete(f.clients, oldest)
+	}
+}
+
+// Busy is the answer to a connection that is not served for want of room; nothing has run.
+func Busy() []byte {
+	p := busy()
+	return http1.AppendResponse(nil, p.Status, p.Body(), append(backFields(0), "Connection", "close", "Content-Type", "application/json")...)
+}
+
+func busy() *Problem {
+	return &Problem{Status: 429, Type: "rate_limit_error", Code: "throttled", Message: "The service is busy; nothing was run. Please try again."}
+}
+
+// deaf takes a body that is not looked at.
+type deaf struct{ end func() }
+
+func (d *deaf) Data([]byte) *Problem { return nil }
+func (d *deaf) End() *Problem        { d.end(); return nil }
+
 // wait replaces the one thing that this connection waits for.
 func (c *client) wait(span seam.Micros, f func()) {
 	if c.timer != nil {
@@ -248,6 +301,12 @@
 	c.conn.Write(http1.AppendResponse(nil, p.Status, p.Body(), append(fields, "Content-Type", "application/json")...))
 }
 
+// idleLeast is how long a connection has waited for a request before it makes way for others.
+const idleLeast = seam.Second
+
+// busyFor is how long a connection that is not served may take to read why.
+const busyFor = 200 * seam.Millisecond
+
 // drawOut is how much of a long body buys a whole message's time again.
 const drawOut = 1 << 20
 
@@ -290,9 +349,10 @@
 
 // begin finds what a request asks for, and who asks.
 func (f *Front) begin(head *http1.Head, to *Reply) (Sink, *Problem) {
-	if f.leaving {
+	if f.leaving || f.crowded() {
 		// Nothing ran; another dispatcher takes it.
-		return &Whole{Do: func([]byte) *Problem { to.Throttled(0); return nil }}, nil
+		to.keep = false
+		return &deaf{func() { to.Throttled(0) }}, nil
 	}
 	path, _, _ := strings.Cut(head.Target, "?")
 	key, bearer := strings.CutPrefix(head.Get("Authorization"), "Bearer ")
@@ -383,7 +443,7 @@
 
 // next makes the connection ready for another request.
 func (c *client) next() {
-	c.reply = nil
+	c.reply, c.idle = nil, c.front.loop.Now()
 	c.wait(c.front.patience.Idle, func() { c.conn.Close() })
 	c.conn.Pause(false)
 	c.check(c.parser.Resume(c))
@@ -575,8 +635,7 @@
 // Throttled is the final answer of a generation that did nothing and may come again, after a while if one is
 // given.
 func (r *Reply) Throttled(comeBack seam.Micros) {
-	p := &Problem{Status: 429, Type: "rate_limit_error", Code: "throttled", Message: "The service is busy; nothing was run. Please try again."}
-	r.end(p, backFields(comeBack)...)
+	r.end(busy(), backFields(comeBack)...)
 }
 
 // Terminated is the final answer of a generation that failed. Where it must not run again the client is told
@@ -619,6 +678,7 @@
 		return
 	}
 	fields = append(fields, "Content-Type", "application/json")
+	r.keep = r.keep && !r.client.front.crowded()
 	if !r.keep {
 		fields = append(fields, "Connection", "close")
 	}
--- a/internal/lab/days/days.go
+++ b/internal/lab/days/days.go
@@ -20,6 +20,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"plumspindle/internal/deployment"
 	"plumspindle/internal/deployment/pb"
 	"plumspindle/internal/lab/audit"
@@ -71,11 +73,12 @@
 	Intents     bool           // dispatchers keep intents across their lives
 	Used        []tenancy.Used // what the dispatchers say was used, after a virtual day
 	Batches     []*load.Batches
-	Plant       *Plant             // virtual days only, as what follows
-	Watch       func()             // called after each step
-	Delay       func() seam.Micros // how much longer each piece is on its way, once the load has begun
-	Steps       int                // of the world
-	Reached     []path.Reached     // by each dispatcher's last life
+	Begun       func(addrs []string) // over sockets: told where the dispatchers are, once the load has begun
+	Plant       *Plant               // virtual days only, as what follows
+	Watch       func()               // called after each step
+	Delay       func() seam.Micros   // how much longer each piece is on its way, once the load has begun
+	Steps       int                  // of the world
+	Reached     []path.Reached       // by each dispatcher's last life
 
 	world *virtual.World
 	all   []*lives
@@ -104,6 +107,8 @@
 // server is one dispatcher of a day.
 type server interface {
 	crash(ctx context.Context, back seam.Micros)
+	// squeeze leaves it so many descriptors beyond those that it has open, until the call that it gives.
+	squeeze(left int) (undo func())
 }
 
 // process is one dispatcher.
@@ -159,6 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.events = events
 	return audit.Judge(p.Deployment, events), nil
 }
 
@@ -256,6 +262,13 @@
 		}
 	}
 	p.begin(ctx, targets)
+	if p.Begun != nil {
+		var addrs []string
+		for _, t := range targets {
+			addrs = append(addrs, t.Addr)
+		}
+		p.Begun(addrs)
+	}
 	if err := p.wait(ctx, time.Now()); err != nil {
 		return err
 	}
@@ -408,6 +421,18 @@
 	}()
 }
 
+func (pr *process) squeeze(left int) func() {
+	pid := pr.cmd.Process.Pid
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	var was unix.Rlimit
+	if err != nil || unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &was) != nil {
+		return func() {} // it has just died
+	}
+	less := unix.Rlimit{Cur: min(uint64(len(fds)+left), was.Max), Max: was.Max}
+	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &less, nil)
+	return func() { _ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil) }
+}
+
 // stopAll ends the dispatchers in good order.
 func (p *Play) stopAll(procs []*process) error {
 	select {
@@ -502,6 +527,13 @@
 			p.servers[i].crash(ctx, span)
 		}
 	},
+	// Dispatchers have but a few descriptors beyond those that they have open.
+	"descriptors": func(p *Play, _ context.Context, t *pb.Day_Trouble, span seam.Micros, _ []*hosts.Host) {
+		n := max(int(t.Share*float64(len(p.servers))+0.5), 1)
+		for _, i := range p.rand.Perm(len(p.servers))[:min(n, len(p.servers))] {
+			p.fleetAt.After(span, p.servers[i].squeeze(int(t.Factor)))
+		}
+	},
 	"burst": crowdChange(func(c *load.Crowd, t *pb.Day_Trouble) func() {
 		c.Rate *= max(t.Factor, 0.01)
 		return func() { c.Rate /= max(t.Factor, 0.01) }
--- a/internal/lab/days/virtual.go
+++ b/internal/lab/days/virtual.go
@@ -83,6 +83,12 @@
 	})
 }
 
+func (l *lives) squeeze(left int) func() {
+	at := l.loop
+	at.Descriptors = at.Open() + left
+	return func() { at.Descriptors = 0 }
+}
+
 // Virtual plays the day in virtual time, in this one process: the dispatchers' own code, the same stand-ins, the
 // same clients. It gives the verdict, what is left in the dispatchers, and the hash of all that happened.
 func (p *Play) Virtual(segment int) (v *audit.Verdict, left int, trace uint64, err error) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -29,6 +29,7 @@
 	"plumspindle/internal/admin"
 	"plumspindle/internal/deployment"
 	"plumspindle/internal/dispatch"
+	"plumspindle/internal/front"
 	"plumspindle/internal/lab/audit"
 	"plumspindle/internal/lab/days"
 	"plumspindle/internal/lab/hosts"
@@ -219,6 +220,11 @@
 		}
 		post.Keep = c.keeper(c.ListFile, true, func(err error) { s.log.Error().Err(err).Msg("the list is not kept; it is tried again") })
 	}
+	loop.Busy = front.Busy()
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		post.Descriptors = int(min(limit.Cur, 1<<20))
+	}
 	post.Tenants, post.Secret = c.Tenants, c.secret
 	if c.Secret != "" {
 		if post.Secret, err = admin.ReadSecret(c.Secret); err != nil {
--- /dev/null
+++ b/internal/program/room_test.go
@@ -0,0 +1,59 @@
+package program
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"plumspindle/internal/deployment"
+	"plumspindle/internal/lab/days"
+)
+
+// Dispatchers as processes run out of descriptors while generations are read, moved and written, and clients that say nothing hold
+// all that is given back: what runs goes on, what comes is told so, no state is pinned, and with room again service is back without
+// a restart. Judged from what clients and hosts saw.
+func TestDayWithoutDescriptors(t *testing.T) {
+	script, err := days.ReadScript("room", []byte(`name: "room" seconds: 11 rate: 40
+		troubles { at_ms: 2500 kind: "descriptors" share: 1 factor: 6 for_ms: 3000 }`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &days.Play{Script: script, Deployment: deployment.Standard(), Dispatchers: 1, Seed: 4, Binary: binary}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	var held sync.WaitGroup
+	p.Begun = func(addrs []string) {
+		held.Go(func() { // clients that hold what they can get, while there is little
+			begun, tick := time.Now(), time.NewTicker(5*time.Millisecond)
+			defer tick.Stop()
+			for range tick.C {
+				if at := time.Since(begun); at > 5500*time.Millisecond {
+					return
+				} else if at < 2500*time.Millisecond {
+					continue
+				}
+				if c, err := net.DialTimeout("tcp", addrs[0], time.Second); err == nil {
+					defer c.Close()
+				}
+			}
+		})
+	}
+	v, err := p.Run(ctx)
+	held.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(v.Text())
+	if !v.Kept() {
+		t.Error("a rule was broken")
+	}
+	asked, streamed := p.Streamed(9)
+	if asked < 20 || streamed*10 < asked*9 {
+		t.Errorf("with room again %d of %d are streamed", streamed, asked)
+	}
+	if asked, streamed = p.Streamed(4); asked < 10 || streamed == asked {
+		t.Errorf("without room %d of %d are streamed: it did not bind", streamed, asked)
+	}
+}
--- a/internal/seam/seam.go
+++ b/internal/seam/seam.go
@@ -3,7 +3,11 @@
 // reads a clock. Package sockets is the seam over real sockets; a world in virtual time can be another.
 package seam
 
-import "plumspindle/choice/due"
+import (
+	"errors"
+
+	"plumspindle/choice/due"
+)
 
 // Micros is a time or a span in whole microseconds.
 type Micros = due.Micros
@@ -13,6 +17,9 @@
 	Second             = 1000 * Millisecond
 )
 
+// ErrNoDescriptors is why a connection could not be made where this process has no descriptor left; its other side is not to blame.
+var ErrNoDescriptors = errors.New("too many open files")
+
 // Loop runs everything of one dispatcher, or of one stand-in, one call at a time. Its methods may be called
 // only from within those calls.
 type Loop interface {
@@ -23,6 +30,8 @@
 	Later(f func())
 	// Dial opens a connection. The handler hears Opened, or Closed with the cause where none could be made.
 	Dial(addr string, within Micros, h Handler) Conn
+	// DialSpare is Dial for what must not wait for others: it may use one of a few descriptors that are kept back for it.
+	DialSpare(addr string, within Micros, h Handler) Conn
 	// Listen takes connections until the listener is closed. Only loopback addresses are accepted.
 	Listen(addr string, accept func(Conn) Handler) (Listener, error)
 }
