A decision's cost grows with the fleet and no faster; nothing is allocated anew for it

Seen: an arrival at the grown size looked at 2,838 hosts, at ten times the fleet at 251,526 (exponent 1.95): each reader's link was looked for in all legs of all hosts, and each cold host summed what all warm ones did. Each generation that ended searched the held queue, so that many that end at once cost their square, and each outcome copied it. Ruled out: what is ranked (rendezvous hashing and medians, linear or nearly), the due times (a heap). Lines at fault: linkJammed in pickReader, bears, finish and admit, the lists made in candidates, pickWriter and loads. Change: late cells are found once for a decision, warm hosts' work once for a moment, ended generations are taken out of the queue when it is next looked through; lists and numbers are scratch.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -113,7 +113,7 @@
 
 // ListEnded closes a list; a host that a whole list leaves out is gone.
 func (d *Dispatcher) ListEnded(now Micros, whole bool) {
-	d.now = now
+	d.now, d.warmAt = now, [4]Micros{}
 	for _, h := range d.hosts {
 		if whole && !h.listed {
 			h.ready = false
@@ -221,7 +221,8 @@
 			return
 		}
 	}
-	if !slices.Contains(d.held, g) {
+	if !g.held {
+		g.held = true
 		d.held = append(d.held, g)
 	}
 }
@@ -242,23 +243,27 @@
 // what can. It stops when several find no place, and a long queue is put in order only at each beat: a
 // flood must not cost its square.
 func (d *Dispatcher) admit(beat bool) {
-	queue := d.held
-	d.held = nil
+	if d.gone > 0 {
+		d.held, d.gone = slices.DeleteFunc(d.held, func(g *generation) bool { return !g.held }), 0
+	}
+	queue, at := d.held, 0
+	d.held = d.missed[:0]
 	ordered := beat || len(queue) < shortQueue
 	if ordered {
 		slices.SortStableFunc(queue, func(a, b *generation) int {
 			return cmp.Or(cmp.Compare(d.value(b), d.value(a)), cmp.Compare(b.arrived, a.arrived))
 		})
 	}
-	for i, g := range queue {
-		if len(d.held) == missesMost {
-			d.held = append(d.held, queue[i:]...)
-			break
-		}
-		d.enter(g)
+	for ; at < len(queue) && len(d.held) < missesMost; at++ {
+		queue[at].held = false
+		d.enter(queue[at])
 	}
+	// What found no place stands first again; it has room in front of the rest, where it came from.
+	d.missed = d.held
+	d.held = queue[at-len(d.missed):]
+	copy(d.held, d.missed)
 	if ordered && slices.ContainsFunc(d.held, d.timely) {
-		for _, g := range slices.Clone(d.held) {
+		for _, g := range d.held {
 			if !d.timely(g) {
 				d.giveUp(g)
 			}
@@ -335,7 +340,10 @@
 		answer(g.id)
 	}
 	d.due.Drop(g.limit)
-	d.held = slices.DeleteFunc(d.held, func(o *generation) bool { return o == g })
+	if g.held { // it is taken out of the queue when that is next looked through: many end at once
+		g.held = false
+		d.gone++
+	}
 	if g.out != nil {
 		d.cancel(g.out) // its outcome lets go of the rest
 		return
@@ -539,7 +547,8 @@
 // ill it is more likely the network, or this dispatcher. The rules (list, repeats, cold hosts) bind all the
 // same.
 func (d *Dispatcher) candidates(g *generation, roles ...Role) []*host {
-	var good, rest []*host
+	from, ill := len(d.lists), func(h *host) bool { return !d.looksWell(h, g) }
+	d.looked += uint64(len(d.hosts))
 	for _, h := range d.hosts {
 		if !slices.Contains(roles, h.role) || !h.ready || g.state == nil && d.now < h.fullUntil {
 			continue // a full host isn't ill: to send to it all the same would only burn the legs that are left
@@ -547,16 +556,19 @@
 		if slices.Contains(g.tried, h) || !d.mayRepeat(g, h) || !d.bears(h) {
 			continue
 		}
-		if rest = append(rest, h); d.looksWell(h, g) {
-			good = append(good, h)
-		}
+		d.lists = append(d.lists, h)
 	}
-	if len(good) == 0 {
-		good = rest
+	hosts := d.lists[from:len(d.lists):len(d.lists)]
+	if i := slices.IndexFunc(hosts, func(h *host) bool { return !ill(h) }); i >= 0 {
+		hosts = slices.DeleteFunc(hosts, ill)
 	}
-	return d.connected(good)
+	return d.connected(hosts)
 }
 
+// done gives back the lists of candidates that were made since a mark: one decision makes several, and none
+// outlives it.
+func (d *Dispatcher) done(mark int) { d.lists = d.lists[:mark] }
+
 // connected are the hosts that this dispatcher has a connection to, those of a role all where it has none,
 // while new connections often fail: they are slow to set up, or the hosts have no more to give. Many
 // dispatchers over many hosts open them all the time.
@@ -615,11 +627,13 @@
 // pickReader is the prefix's home unless that is busy, else the reader with the least work. Readers whose
 // states could not be taken anywhere in time are left out.
 func (d *Dispatcher) pickReader(g *generation) *host {
+	defer d.done(len(d.lists))
 	if d.Products[g.product].ReadOnly { // no state that would have to be taken, nor any text that is kept
 		return d.least(d.candidates(g, Reader, Embedder), func(h *host) float64 { return d.wait(h, g) })
 	}
+	late := d.lateCells()
 	readers := slices.DeleteFunc(d.candidates(g, Reader), func(r *host) bool {
-		if !d.linkJammed(r.cell, g) {
+		if !d.linkJammed(r.cell, g, late) {
 			return false
 		}
 		w, fits := d.pickWriter(g, r)
@@ -722,27 +736,31 @@
 // pickWriter is the least filled fitting writer, in the reader's cell, else its zone, else anywhere; if
 // none fits, the least filled past the limits. It tells whether the one it names fits.
 func (d *Dispatcher) pickWriter(g *generation, reader *host) (*host, bool) {
+	defer d.done(len(d.lists))
 	hosts := d.candidates(g, Writer)
 	if len(hosts) == 0 {
 		hosts = d.candidates(g, Mixed)
 	}
-	if reader != nil && d.linkJammed(reader.cell, g) {
+	if reader != nil && d.linkJammed(reader.cell, g, d.lateCells()) {
 		inside := func(h *host) bool { return h.cell == reader.cell }
 		if slices.ContainsFunc(hosts, inside) {
 			hosts = slices.DeleteFunc(hosts, func(h *host) bool { return !inside(h) })
 		}
 	}
-	median := median(d.loads(hosts))
-	var outside []float64
+	if len(hosts) == 0 {
+		return nil, false
+	}
+	median, outside := median(d.loads(hosts)), d.numbers[:0]
 	for _, h := range hosts {
 		if reader != nil && h.cell != reader.cell {
 			outside = append(outside, d.fill(h))
 		}
 	}
+	d.numbers = outside
 	most := nearFactor*mean(outside) + nearFloor
-	// The steps that the least filled is looked for in: the cell, the zone, anywhere, past the limits.
-	var steps [4][]*host
-	for _, h := range hosts {
+	// The step that the least filled is looked for in: the cell, the zone, anywhere, past the limits.
+	first := 4
+	for i, h := range hosts {
 		at := 0
 		switch {
 		case !d.fits(h, g, median):
@@ -752,14 +770,10 @@
 		case h.cell != reader.cell:
 			at = 1
 		}
-		steps[at] = append(steps[at], h)
-	}
-	for at, hosts := range steps {
-		if len(hosts) > 0 {
-			return d.least(d.draw(hosts), d.fill), at < 3
-		}
+		first, hosts[i].step = min(first, at), at
 	}
-	return nil, false
+	hosts = slices.DeleteFunc(hosts, func(h *host) bool { return h.step != first })
+	return d.least(d.draw(hosts), d.fill), first < 3
 }
 
 func (d *Dispatcher) fits(h *host, g *generation, median float64) bool {
@@ -776,6 +790,7 @@
 func (d *Dispatcher) roomAhead(g *generation) bool {
 	adds := g.prompt + g.growth
 	left := -d.underway - adds
+	defer d.done(len(d.lists))
 	hosts := d.candidates(g, Writer, Mixed)
 	median := median(d.loads(hosts))
 	for _, h := range hosts {
@@ -815,18 +830,25 @@
 // linkJammed: states come out of a cell late though their writers are well, so its one link is overfull or
 // failing. Until they come in time again they go to writers inside the cell, and prompts are read where
 // states can be taken.
-func (d *Dispatcher) linkJammed(cell CellID, g *generation) bool {
-	if at, late := d.links[cell]; late && d.now-at < g.part(slowStart) {
+func (d *Dispatcher) linkJammed(cell CellID, g *generation, late []CellID) bool {
+	if at, seen := d.links[cell]; seen && d.now-at < g.part(slowStart) {
 		return true
 	}
+	return slices.Contains(late, cell)
+}
+
+// lateCells are those out of which a state is late that is on its way now; most of the time there is none.
+// They are found once for a decision: to look through all legs for each reader cost the fleet's square.
+func (d *Dispatcher) lateCells() (cells []CellID) {
+	d.looked += uint64(len(d.hosts))
 	for _, h := range d.hosts {
-		if slices.ContainsFunc(h.legs, func(l *leg) bool {
-			return l.far && l.from == cell && d.now > l.late && d.linkToBlame(l)
-		}) {
-			return true
+		for _, l := range h.legs {
+			if l.far && d.now > l.late && d.linkToBlame(l) && !slices.Contains(cells, l.from) {
+				cells = append(cells, l.from)
+			}
 		}
 	}
-	return false
+	return cells
 }
 
 // load is a host's streams, those of the others taken from own averages, as one dispatcher's even part. Those
@@ -854,21 +876,24 @@
 	}
 }
 
-func (d *Dispatcher) loads(hosts []*host) (loads []float64) {
+// loads are good until the next ones are asked for.
+func (d *Dispatcher) loads(hosts []*host) []float64 {
+	d.numbers = d.numbers[:0]
 	for _, h := range hosts {
-		loads = append(loads, d.load(h))
+		d.numbers = append(d.numbers, d.load(h))
 	}
-	return loads
+	return d.numbers
 }
 
 // compareTimes takes what answers lately took at the median host.
 func (d *Dispatcher) compareTimes() {
-	var times []float64
+	times := d.numbers[:0]
 	for _, h := range d.hosts {
 		if h.ready && h.role != Reader && h.streamTime.at > 0 {
 			times = append(times, h.streamTime.value)
 		}
 	}
+	d.numbers = times
 	d.answerTime = median(times)
 }
 
@@ -889,6 +914,7 @@
 // pickMixed gives mixed hosts their share whole, by their load against the writers' mean. By memory, of which
 // they have most, they would be given more than they read in time.
 func (d *Dispatcher) pickMixed(g *generation) *host {
+	defer d.done(len(d.lists))
 	mixed := d.among(g, Mixed)
 	if len(mixed) == 0 {
 		return nil
@@ -903,6 +929,7 @@
 
 // pickOtherReader: readers are busy; the prompt may be read where it is answered.
 func (d *Dispatcher) pickOtherReader(g *generation) *host {
+	defer d.done(len(d.lists))
 	roles := []Role{Mixed}
 	if d.WritersRead {
 		roles = append(roles, Writer)
@@ -948,6 +975,7 @@
 		d.well(h)
 		d.age(h)
 		h.done += d.typical[l.gen.product]
+		d.warmAt = [4]Micros{}
 	case Full:
 		h.heard = d.now
 		if note != 1 {
@@ -1019,16 +1047,17 @@
 
 func (d *Dispatcher) cold(h *host) bool { return h.since > 0 && d.now-h.since < d.Cold }
 
-// bears tells whether a cold host can take one more leg. All dispatchers are taken to send alike, so each
-// keeps to what the rule leaves of the work that warm hosts of the role were seen to do for it, and the
-// cold one itself.
-func (d *Dispatcher) bears(h *host) bool {
-	if !d.cold(h) {
-		return true
+// seeWarm learns what warm hosts of a role lately did; for all cold ones that are looked at in one moment it
+// is the same.
+func (d *Dispatcher) seeWarm(role Role) {
+	if d.warmAt[role] == d.now {
+		return
 	}
+	d.warmAt[role] = d.now
 	sum, n := 0.0, 0.0
+	d.looked += uint64(len(d.hosts))
 	for _, o := range d.hosts {
-		if o.ready && o.role == h.role && !d.cold(o) {
+		if o.ready && o.role == role && !d.cold(o) {
 			d.age(o)
 			sum += o.done / doneMemory
 			n++
@@ -1036,11 +1065,24 @@
 	}
 	// Where all hosts of a role started together no warm one is left to go by: what was seen before holds on.
 	if n > 0 {
-		d.warm[h.role] = sum / n
+		d.warm[role] = sum / n
 	}
+}
+
+// bears tells whether a cold host can take one more leg. All dispatchers are taken to send alike, so each
+// keeps to what the rule leaves of the work that warm hosts of the role were seen to do for it, and the
+// cold one itself.
+func (d *Dispatcher) bears(h *host) bool {
+	if !d.cold(h) {
+		return true
+	}
+	d.seeWarm(h.role)
 	d.age(h)
 	rate := d.FallMultiple * coldShare * d.ColdFrom * d.warm[h.role]
-	mean := slices.Max(append([]float64{1}, d.typical...))
+	mean := 1.0
+	for _, tokens := range d.typical {
+		mean = max(mean, tokens)
+	}
 	// One answer is no measure: where each dispatcher sees few, those that saw one would all take it for many.
 	if h.done > provenLeast*mean {
 		rate = max(rate, d.FallMultiple*provenPart*h.done/doneMemory)
--- a/choice/decide_test.go
+++ b/choice/decide_test.go
@@ -98,7 +98,7 @@
 	w.start(near)
 	w.pass(300 * ms)
 	writer, g := w.d.byID[11], &generation{arrived: w.now, slo: w.now + sec}
-	if w.d.jammed(writer) || !w.d.linkJammed(0, g) || w.d.linkJammed(1, g) {
+	if w.d.jammed(writer) || !w.d.linkJammed(0, g, w.d.lateCells()) || w.d.linkJammed(1, g, w.d.lateCells()) {
 		t.Error("the late state is not put down to its cell's link")
 	}
 	w.start(far)
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,17 +26,23 @@
 	links        map[CellID]Micros // when a state last came late out of a cell
 	outOf        map[CellID]trace
 	gens         map[GenID]*generation
-	held         []*generation
+	held         []*generation // with those that are held no more, until they are taken out
+	gone         int           // of these, so many
+	missed       []*generation // scratch, as what follows: a decision makes nothing anew that it can use again
+	lists        []*host
+	numbers      []float64
 	answerTime   float64    // of the median host lately, for each expected token
 	underway     float64    // tokens of the generations that are being read
 	usual        [2]float64 // usual time of a read and to a first token, in Micros
 	warm         [4]float64 // work a second that a warm host of each role was last seen to do
+	warmAt       [4]Micros  // when that was worked out, if nothing has come since that would change it
 	typical      []float64  // mean work of a product's generations, in tokens
 	allowed      []float64  // generations that each tenant may still send inside its share
 	refill       Micros
 	often        map[PrefixID]float64 // generations that began with it
 	arrivals     float64              // all of them
 	noConnection trace                // share of new connections that failed
+	looked       uint64               // hosts that were looked at for decisions; tests hold it against the fleet's size
 }
 
 // host is what one dispatcher knows of one model host.
@@ -75,6 +81,7 @@
 	heldThen   float64
 	reportedAt Micros
 
+	step       int // that a writer is in, in the decision that is under way
 	texts      map[PrefixID]bool
 	streamTime trace // of its answers, for each expected token
 }
@@ -119,6 +126,7 @@
 	deadline Micros
 	over     bool // beyond its tenant's share
 
+	held     bool
 	sent     int
 	out      *leg
 	state    *host // the reader where its read state waits
--- a/choice/world_test.go
+++ b/choice/world_test.go
@@ -322,7 +322,7 @@
 			}
 		}
 	}
-	if len(w.d.gens)+len(w.d.held) > 0 || w.d.underway > 0.5 {
+	if len(w.d.gens)+len(w.d.held)-w.d.gone > 0 || w.d.underway > 0.5 {
 		w.t.Fatalf("left over: %d gens, %d held, %v tokens under way", len(w.d.gens), len(w.d.held), w.d.underway)
 	}
 	for _, h := range w.d.hosts {
