--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,6 @@
 	burstTime   = 2.0  // seconds of its share that a tenant may send at once
 	holdShare   = 0.3  // of the SLO time; a read that would take longer is held, not queued at its reader
 	makeWay     = 0.02 // seconds of work ahead of what is only read, past which it is held
-	slowFrom    = 1.5  // times the median time of answers, above which a host's streams count for more
 	slowStart   = 0.25 // of the SLO time; an answer that begins later begins late
 	capCut      = 0.8  // of what was held when answers began late may be held next; cut at most
 	capEvery    = sec  // this often, and grown by
@@ -435,7 +434,7 @@
 		blend(&d.usual[1], float64(now-l.sent), usualMemory)
 	}
 	d.learnHandover(l)
-	l.started, l.begun, l.gen.state = true, now, nil
+	l.started, l.gen.state = true, nil
 	d.due.Drop(l.gen.limit)
 	l.readOff()
 	h := l.host
@@ -476,9 +475,6 @@
 		d.noConnection.learn(d, 0, failed)
 	}
 	d.judge(h, l, how, note)
-	if l.started && how == Streamed {
-		h.streamTime.learn(d, d.answerTime, float64(now-l.begun)/max(g.growth, 1))
-	}
 	if how == ReadDone {
 		d.learnRead(h, l, g, work, float64(note))
 	}
@@ -518,7 +514,6 @@
 	if bell == Beat {
 		d.orders.Ring(beat, Beat)
 		d.refillShares()
-		d.compareTimes()
 		d.watchSilence()
 		d.admit(true)
 	} else {
@@ -851,16 +846,10 @@
 	return cells
 }
 
-// load is a host's streams, those of the others taken from own averages, as one dispatcher's even part. Those
-// of a slow host, where answers take longer than slowFrom times what they take at the median one, count for
-// more: they fill their places for longer. It fades, so that the host gets a new chance.
+// load is a host's streams, those of the others taken from own averages, as one dispatcher's even part.
 func (d *Dispatcher) load(h *host) float64 {
 	d.average(h)
-	own := (float64(h.streams) + h.streamsMean*float64(d.others())) / float64(d.others()+1)
-	if d.answerTime > 0 {
-		own *= 1 + max(h.streamTime.faded(d, d.answerTime)/d.answerTime-slowFrom, 0)
-	}
-	return own
+	return (float64(h.streams) + h.streamsMean*float64(d.others())) / float64(d.others()+1)
 }
 
 func (d *Dispatcher) others() int { return max(d.Dispatchers-1, 0) }
@@ -885,18 +874,6 @@
 	return d.numbers
 }
 
-// compareTimes takes what answers lately took at the median host.
-func (d *Dispatcher) compareTimes() {
-	times := d.numbers[:0]
-	for _, h := range d.hosts {
-		if h.ready && h.role != Reader && h.streamTime.at > 0 {
-			times = append(times, h.streamTime.value)
-		}
-	}
-	d.numbers = times
-	d.answerTime = median(times)
-}
-
 func (d *Dispatcher) reported(h *host) bool {
 	return h.memory >= 0 && d.now-h.reportedAt < reportStale
 }
--- a/choice/decide_test.go
+++ b/choice/decide_test.go
@@ -63,24 +63,6 @@
 }
 
 // States that come late out of a cell show a jammed link, not a jammed writer, where the writer begins
-// A stream at a host where answers take long counts for more, until none has ended there for long.
-func TestSlowHostCountsMore(t *testing.T) {
-	w := newWorld(t, two(Idempotent), 1)
-	w.fleet(3, 0, 1)
-	for i, h := range w.d.hosts {
-		h.streamTime, h.streams, h.streamsMean = trace{float64(1 + i/5*3), w.now}, 2, 2
-	}
-	w.d.compareTimes()
-	slow, g := w.d.hosts[5], &generation{slo: w.now + sec, arrived: w.now}
-	if w.d.fits(slow, g, 1) || !w.d.fits(w.d.hosts[4], g, 1) {
-		t.Error("two streams at a host four times slower do not pass the margin of three")
-	}
-	w.pass(60 * sec)
-	if !w.d.fits(slow, g, 1) {
-		t.Error("the host is held slow for good")
-	}
-}
-
 // others in time.
 func TestJammedLink(t *testing.T) {
 	w := newWorld(t, two(Idempotent), 1)
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,7 +31,6 @@
 	missed       []*generation // scratch, as what follows: a decision makes nothing anew that it can use again
 	lists        []*host
 	numbers      []float64
-	answerTime   float64    // of the median host lately, for each expected token
 	underway     float64    // tokens of the generations that are being read
 	usual        [2]float64 // usual time of a read and to a first token, in Micros
 	warm         [4]float64 // work a second that a warm host of each role was last seen to do
@@ -81,9 +80,8 @@
 	heldThen   float64
 	reportedAt Micros
 
-	step       int // that a writer is in, in the decision that is under way
-	texts      map[PrefixID]bool
-	streamTime trace // of its answers, for each expected token
+	step  int // that a writer is in, in the decision that is under way
+	texts map[PrefixID]bool
 }
 
 // trace is what was seen of a thing lately, and when last.
@@ -103,7 +101,6 @@
 	tokens  float64 // memory that its answer is expected to take
 	writes  bool
 	started bool
-	begun   Micros // when its answer began
 	late    Micros // when it begins too late
 	far     bool   // its state comes out of another cell,
 	from    CellID // this one
