The audit excuses less and sees more; a history for each rule that it must reject

Change: away is split into standing still and being cut off, and counts only for its own time; a throttling is held against every write at a host that has not refused it in words; cold hosts' work is added up once more from what their sockets took; an answer's time is held against what the client allowed; in virtual time the slack of 50 ms shrinks to four times the network's latency.

--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -55,11 +56,19 @@
 }
 
 const (
-	// slack is for what two sockets' events may be apart in one process's record, µs.
+	// slack is for what two sockets' events may be apart in one process's record, µs; in virtual time, where all events have one
+	// clock, they are apart by the network's latency only, which such a record states.
 	slack       = 50_000
 	breaksShown = 20
 )
 
+// away is a span in which a dispatcher could not do all that it owes: it stood still, or could not hear its hosts or be heard
+// by them. Cut off from hosts it still owes its clients their answers.
+type away struct {
+	from, to int64
+	cut      bool
+}
+
 type leg struct {
 	line  int
 	event record.Event
@@ -67,17 +76,20 @@
 }
 
 type tried struct {
-	line, finals int
-	how          string
-	at, final    int64
+	line, finals     int
+	how, dispatcher  string
+	product          string
+	at, final, allow int64
 }
 
 type judge struct {
 	d       deployment.Deployment
 	v       *Verdict
 	effects map[string]*pb.Product
-	away    map[string][][2]int64 // when dispatchers did nothing, or were cut off from what they would have had to hear
-	killed  map[string][]int64    // when dispatchers were killed or told to end, by name
+	slack   int64
+	away    map[string][]away  // by dispatcher
+	killed  map[string][]int64 // when dispatchers were killed or told to end, by name
+	refused map[string]int64   // when a host said that it had not run a leg
 	tries   map[string]*tried
 	order   []string
 	legs    map[string][]*leg // by the dispatcher's generation
@@ -87,8 +99,8 @@
 
 // Judge reads a record.
 func Judge(d deployment.Deployment, events []record.Event) *Verdict {
-	j := &judge{d: d, v: &Verdict{}, effects: map[string]*pb.Product{}, killed: map[string][]int64{}, away: map[string][][2]int64{},
-		tries: map[string]*tried{}, legs: map[string][]*leg{}, byLeg: map[string]*leg{}, ran: map[string][]int{}}
+	j := &judge{d: d, v: &Verdict{}, effects: map[string]*pb.Product{}, killed: map[string][]int64{}, away: map[string][]away{},
+		slack: slack, refused: map[string]int64{}, tries: map[string]*tried{}, legs: map[string][]*leg{}, byLeg: map[string]*leg{}, ran: map[string][]int{}}
 	for i, name := range []string{"one final answer", "no effect twice", "drains kept", "no cold host pushed over",
 		"nothing left pinned"} {
 		j.v.Rules[i].Name = name
@@ -124,10 +136,19 @@
 	at := map[uint32][]*leg{}
 	for i, e := range events {
 		switch e.What {
+		case "world":
+			j.slack = 4*e.N + 2000
 		case "away":
-			j.away[e.Dispatcher] = append(j.away[e.Dispatcher], [2]int64{e.At, e.At + e.N})
+			j.away[e.Dispatcher] = append(j.away[e.Dispatcher], away{e.At, e.At + e.N, e.How == "cut"})
+		case "refuse":
+			if _, before := j.refused[e.Leg]; !before && slices.Contains(proofs, e.How) {
+				j.refused[e.Leg] = e.At
+			}
 		case "killed":
 			j.killed[e.Dispatcher] = append(j.killed[e.Dispatcher], e.At)
+			if place, _, lives := strings.Cut(e.Dispatcher, "."); lives {
+				j.killed[place] = append(j.killed[place], e.At)
+			}
 		case "leg":
 			if l := j.byLeg[e.Leg]; l != nil {
 				j.fail(1, i+1, e.Gen, "leg %s was sent twice (first on line %d)", e.Leg, l.line)
@@ -154,21 +175,32 @@
 	}
 }
 
-// wasAway tells whether a dispatcher did nothing, or could not hear or be heard, at some time in a span.
-func (j *judge) wasAway(dispatcher string, from, to int64) bool {
+// awayAt gives the end of the span in which a dispatcher was away at a moment, or just before it; the moment where it was not.
+func (j *judge) awayAt(dispatcher string, at int64) int64 {
+	end := at
+	for again := true; again; { // one span may run into the next
+		again = false
+		for _, a := range j.away[dispatcher] {
+			if a.from-slack <= end && a.to+slack > end {
+				end, again = a.to+slack, true
+			}
+		}
+	}
+	return end
+}
+
+// stood tells whether a dispatcher stood still at a moment.
+func (j *judge) stood(dispatcher string, at int64) bool {
 	for _, a := range j.away[dispatcher] {
-		if a[1]+slack >= from && a[0]-slack <= to {
+		if !a.cut && a.from-slack <= at && a.to+slack >= at {
 			return true
 		}
 	}
 	return false
 }
 
-// wasKilled tells whether a dispatcher could not do what it owed in a span: it was killed, or away.
+// wasKilled tells whether a dispatcher was killed in a span.
 func (j *judge) wasKilled(dispatcher string, from, to int64) bool {
-	if j.wasAway(dispatcher, from, to) {
-		return true
-	}
 	for _, at := range j.killed[dispatcher] {
 		if at >= from-slack && at <= to+slack {
 			return true
@@ -177,6 +209,35 @@
 	return false
 }
 
+// proofs are the words by which a host says that it has not run a leg.
+var proofs = []string{"full", "draining", "state_lost", "invalid_input"}
+
+// place is where a dispatcher stands, whichever of its lives it is: a client can't tell which one it has reached.
+func place(dispatcher string) string {
+	at, _, _ := strings.Cut(dispatcher, ".")
+	return at
+}
+
+// waited is the longest time of a span in which a dispatcher could have done something and did not: what it owed when it came
+// back from being away counts from then.
+func (j *judge) waited(dispatcher string, from, to int64) (most int64) {
+	for from < to {
+		if end := j.awayAt(dispatcher, from); end > from {
+			from = end
+			continue
+		}
+		next := to
+		for _, a := range j.away[dispatcher] {
+			if a.from-slack > from {
+				next = min(next, a.from-slack)
+			}
+		}
+		most = max(most, next-from)
+		from = next
+	}
+	return most
+}
+
 // answers is rule 1: one final answer for each try that a running dispatcher took, in time, nothing after.
 func (j *judge) answers(events []record.Event) {
 	for i, e := range events {
@@ -184,7 +245,7 @@
 		switch e.What {
 		case "ask":
 			if j.tries[key] == nil {
-				j.tries[key] = &tried{line: i + 1, at: e.At}
+				j.tries[key] = &tried{line: i + 1, at: e.At, allow: int64(e.Value), dispatcher: e.Dispatcher, product: e.Product}
 				j.order = append(j.order, key)
 			}
 		case "final":
@@ -201,8 +262,12 @@
 			switch {
 			case e.How == "streamed" && !e.Exact:
 				j.fail(0, i+1, e.Gen, "streamed, but not byte for byte what the writer gave")
+			case e.How != "streamed" && e.N == 0 && t.allow > 0 && e.At > t.at+t.allow+j.slack:
+				j.fail(0, i+1, e.Gen, "answered %d ms after the client's time (%s, try %d)", (e.At-t.at-t.allow)/1000, e.How, e.Try)
 			case e.How == "streamed" || e.How == "throttled" || e.How == "terminated":
-			case (e.How == "broken" || e.How == "gave_up") && j.wasKilled(e.Dispatcher, t.at, e.At):
+			case (e.How == "broken" || e.How == "gave_up") && j.wasKilled(place(e.Dispatcher), t.at, e.At):
+			case e.How == "gave_up" && (j.stood(e.Dispatcher, t.at) || j.stood(e.Dispatcher, e.At)):
+				// It could not answer then; or took the request later than it came, and counts its client's time from there.
 			default:
 				j.fail(0, i+1, e.Gen, "no final answer to try %d: %s", e.Try, e.How)
 			}
@@ -244,21 +309,57 @@
 			continue
 		}
 		for n := 1; n <= 9; n++ {
-			if t := j.tries[fmt.Sprintf("%s/%d", gen, n)]; t != nil && t.how == "throttled" && t.final+slack > first.At && t.at < first.At {
+			if t := j.tries[fmt.Sprintf("%s/%d", gen, n)]; t != nil && t.how == "throttled" && t.final+j.slack > first.At && t.at < first.At {
 				j.fail(1, lines[0], gen, "throttled (try %d), though it ran", n)
 			}
 		}
 	}
+	j.throttlings(events)
 	for _, own := range sortedKeys(j.legs) {
 		legs := j.legs[own]
 		for i, l := range legs[1:] {
-			if before := legs[i]; before.end == 0 || l.event.At < before.end-slack {
+			if before := legs[i]; before.end == 0 || l.event.At < before.end-j.slack {
 				j.fail(1, l.line, l.event.Gen, "leg %s while %s was out", l.event.Leg, before.event.Leg)
 			}
 		}
 	}
 }
 
+// throttlings: what may not run twice is not told to come again while a write of it is at a host that has not said that it does
+// not run it, whether it has begun by then or will.
+func (j *judge) throttlings(events []record.Event) {
+	legs := map[string][]*leg{} // by the client's generation
+	for _, own := range sortedKeys(j.legs) {
+		for _, l := range j.legs[own] {
+			if l.event.How == "write" {
+				legs[l.event.Gen] = append(legs[l.event.Gen], l)
+			}
+		}
+	}
+	for _, e := range events {
+		if e.What != "final" || e.How != "throttled" {
+			continue
+		}
+		t := j.tries[fmt.Sprintf("%s/%d", e.Gen, e.Try)]
+		if t == nil {
+			continue
+		}
+		p := j.effects[t.product]
+		if p == nil || p.Effect == pb.Product_IDEMPOTENT || p.Effect == pb.Product_DEDUPLICATED && p.Group == pb.Product_ALL_HOSTS {
+			continue
+		}
+		j.v.Rules[1].Checked++
+		for _, l := range legs[e.Gen] {
+			if l.event.Dispatcher != e.Dispatcher || l.event.At < t.at || l.event.At > e.At {
+				continue
+			}
+			if at, said := j.refused[l.event.Leg]; !said || at > e.At+j.slack {
+				j.fail(1, l.line, e.Gen, "throttled (try %d) with leg %s at a host that had not refused it", e.Try, l.event.Leg)
+			}
+		}
+	}
+}
+
 // drains is rule 3.
 func (j *judge) drains(events []record.Event) {
 	type pair struct {
@@ -266,7 +367,16 @@
 		host       uint32
 	}
 	told := map[pair]record.Event{}
-	grace := int64(j.d.Rules.DrainGraceMs)*1000 + slack
+	grace := int64(j.d.Rules.DrainGraceMs)*1000 + j.slack
+	// What was sent in time may come late where the way to the hosts was cut.
+	late := func(dispatcher string, due, at int64) bool {
+		for _, a := range j.away[dispatcher] {
+			if a.cut && a.from-slack <= due && at <= a.to+slack {
+				return true
+			}
+		}
+		return false
+	}
 	for i, e := range events {
 		key := pair{e.Dispatcher, e.Host}
 		switch e.What {
@@ -278,17 +388,43 @@
 			}
 		case "leg":
 			j.v.Rules[2].Checked++
-			if t, bound := told[key]; bound && e.At > t.At+grace && !j.wasAway(e.Dispatcher, t.At, e.At) {
+			t, bound := told[key]
+			if due := j.awayAt(e.Dispatcher, t.At) + grace; bound && e.At > due && !late(e.Dispatcher, due, e.At) {
 				j.fail(2, i+1, e.Gen, "sent to host %d, %d ms after %s was told that it is %s", e.Host, (e.At-t.At)/1000, e.Dispatcher, t.How)
 			}
 		}
 	}
 }
 
-// cold is rule 4.
+// cold is rule 4. What the hosts say of themselves counts, and what their sockets were seen to take is added up here once more, by
+// the deployment alone.
 func (j *judge) cold(events []record.Event) {
+	type came struct {
+		at   int64
+		work float64
+	}
+	started, all := map[uint32]int64{}, map[uint32][]came{}
 	for i, e := range events {
 		switch e.What {
+		case "up":
+			started[e.Host], all[e.Host] = e.N, nil
+		case "leg":
+			age := e.At - started[e.Host]
+			could := j.could(e.Kind, age)
+			if started[e.Host] == 0 || could == 0 {
+				break
+			}
+			sum, span := e.Value, int64(j.d.Rules.FallMs)*1000
+			all[e.Host] = slices.DeleteFunc(all[e.Host], func(c came) bool { return c.at < e.At-span })
+			for _, c := range all[e.Host] {
+				sum += c.work
+			}
+			all[e.Host] = append(all[e.Host], came{e.At, e.Value})
+			used := sum / (j.d.Rules.FallMultiple * could * float64(span) / 1e6)
+			j.v.Rules[3].Checked++
+			if n := len(all[e.Host]); used > 1 && n > 1 {
+				j.fail(3, i+1, e.Gen, "cold host %d was sent %.2f of what a sound one bears %d ms after its start, in %d legs", e.Host, used, age/1000, n)
+			}
 		case "cold":
 			j.v.Rules[3].Checked++
 			j.v.ColdMost = max(j.v.ColdMost, e.Value)
@@ -303,6 +439,28 @@
 	}
 }
 
+// could is the work a second that a host of a kind can do so long after its start; 0 where it is warm, or no group tells.
+func (j *judge) could(kind string, age int64) float64 {
+	r := j.d.Rules
+	if j.d.Fleet == nil || age >= int64(r.ColdMs)*1000 {
+		return 0
+	}
+	for _, g := range j.d.Fleet.Groups {
+		if g.Kind != kind {
+			continue
+		}
+		could := g.ReadTokensPerS
+		for _, k := range j.d.Kinds {
+			if k.Name == kind && k.Role == pb.Kind_WRITER {
+				could = float64(g.Slots) * 1e6 / float64(g.StepUs+g.StepUsPerStream*g.Slots)
+			}
+		}
+		warm := float64(r.ColdMs) * 1000 * 9 / 10
+		return could * min(r.ColdFrom+(1-r.ColdFrom)*float64(age)/warm, 1)
+	}
+	return 0
+}
+
 // pinned is rule 5: no state waits for longer than it may while no leg of its generation is out.
 func (j *judge) pinned(events []record.Event) {
 	if len(events) == 0 {
@@ -314,28 +472,26 @@
 	}
 	holds := map[string]held{}
 	byHost := map[uint32]map[string]bool{}
-	most := int64(j.d.Rules.LetGoMs)*1000 + slack
+	most := int64(j.d.Rules.LetGoMs)*1000 + j.slack
 	close := func(h held, to int64) {
 		j.v.Rules[4].Checked++
 		if j.wasKilled(h.e.Dispatcher, h.e.At, to) {
 			return
 		}
 		// The stretches in which no leg was out, between the ends and the beginnings of the others.
-		free := h.e.At
+		free, longest := h.e.At, int64(0)
 		for _, l := range j.legs[owner(h.e.Leg)] {
 			end := l.end
 			if end == 0 {
 				end = to
 			}
 			if l.event.At < to && end > free {
-				if l.event.At-free > most {
-					break
-				}
+				longest = max(longest, j.waited(h.e.Dispatcher, free, l.event.At))
 				free = end
 			}
 		}
-		if to-free > most {
-			j.fail(4, h.line, h.e.Gen, "the state of leg %s waited for %d ms with no leg out", h.e.Leg, (to-free)/1000)
+		if longest = max(longest, j.waited(h.e.Dispatcher, free, to)); longest > most {
+			j.fail(4, h.line, h.e.Gen, "the state of leg %s waited for %d ms with no leg out", h.e.Leg, longest/1000)
 		}
 	}
 	for i, e := range events {
--- a/internal/lab/days/virtual.go
+++ b/internal/lab/days/virtual.go
@@ -105,6 +105,7 @@
 		w.Latency, w.Segment = max(seam.Micros(v.LatencyUs), 1), int(v.Segment)
 	}
 	p.world = w
+	p.book.Add(record.Event{At: int64(w.Now()), What: "world", N: int64(w.Latency)})
 	fleetAt, crowdAt := w.Loop("fleet"), w.Loop("crowd")
 	p.fleetAt, p.crowdAt = fleetAt, crowdAt
 	fleetAt.Do(func() { p.fleet, err = hosts.Start(fleetAt, p.Deployment, p.Seed, "127.0.0.1:0", p.book) })
@@ -190,10 +191,10 @@
 	return t.Dispatcher()
 }
 
-// away notes that a dispatcher can't do what it owes for a while.
-func (l *lives) away(span seam.Micros) {
+// away notes that a dispatcher can't do what it owes for a while: it stands still, or is cut off from its hosts.
+func (l *lives) away(how string, span seam.Micros) {
 	l.back = max(l.back, l.world.Now()+span)
-	l.play.book.Add(record.Event{At: int64(l.world.Now()), What: "away", Dispatcher: l.target.Name, N: int64(span)})
+	l.play.book.Add(record.Event{At: int64(l.world.Now()), What: "away", Dispatcher: l.target.Name, How: how, N: int64(span)})
 }
 
 // picked are dispatchers drawn by chance, one at least.
@@ -214,7 +215,7 @@
 	},
 	"freeze": func(p *Play, t *pb.Day_Trouble, span seam.Micros) {
 		for _, l := range p.picked(t.Share) {
-			l.away(span)
+			l.away("stands", span)
 			l.loop.Freeze(span)
 		}
 	},
@@ -222,7 +223,7 @@
 	"half_cut": func(p *Play, t *pb.Day_Trouble, span seam.Micros) {
 		hosts, _ := p.fleetAt.(*virtual.Loop)
 		for i, l := range p.picked(t.Share) {
-			l.away(span)
+			l.away("cut", span)
 			if i%2 == 0 {
 				p.world.Block(hosts, l.loop, span)
 			} else {
--- a/internal/lab/hosts/embed.go
+++ b/internal/lab/hosts/embed.go
@@ -82,8 +82,9 @@
 		b, _ := json.Marshal(map[string]any{name: list, "model": j.product, "usage": map[string]any{"prompt_tokens": j.prompt, "total_tokens": j.prompt}})
 		return b
 	}
+	j.work = float64(j.prompt)
 	h.fleet.note(h, "leg", j)
-	h.bear(float64(j.prompt))
+	h.bear(j.work)
 	c.job = j
 	if !h.alive {
 		return
--- a/internal/lab/hosts/fleet.go
+++ b/internal/lab/hosts/fleet.go
@@ -176,6 +176,14 @@
 			e.How = "write"
 		}
 	}
+	switch what {
+	case "leg":
+		e.Value = j.work
+	case "refuse":
+		e.How = h.said
+	case "up":
+		e.N = int64(h.started)
+	}
 	f.book.Add(e)
 }
 
--- a/internal/lab/hosts/host.go
+++ b/internal/lab/hosts/host.go
@@ -54,6 +54,7 @@
 	stale      seam.Micros // reports are refreshed only this often
 	report     string
 	reportedAt seam.Micros
+	said       string // the last refusal, in words
 }
 
 type arrival struct {
@@ -67,6 +68,7 @@
 	leg, client, dispatcher, product  string
 	reads, streams, away, ran, placed bool
 	prompt, kept, toRead, most        int
+	work                              float64 // tokens to be read, and half of those that may be written
 	shared                            uint64
 	sharedTokens                      int
 	sent                              int
@@ -518,18 +520,18 @@
 		j.shared, j.sharedTokens = xxhash.Sum64String(gjson.GetBytes(body, "cache_salt").String()+first.Raw), len(first.Raw)/4
 	}
 	j.kept = min(h.texts[j.shared], j.prompt-1)
-	h.fleet.note(h, "leg", j)
-	work := float64(j.prompt - j.kept)
+	j.work = float64(j.prompt - j.kept)
 	if j.fetchLeg = params.Get("remote_request_id").String(); j.fetchLeg != "" {
 		j.fetchFrom = params.Get("remote_addr").String()
-		work = float64(j.most) / 2
+		j.work = float64(j.most) / 2
 	} else {
 		j.toRead = j.prompt - j.kept
 		if !j.reads {
-			work += float64(j.most) / 2
+			j.work += float64(j.most) / 2
 		}
 	}
-	h.bear(work)
+	h.fleet.note(h, "leg", j)
+	h.bear(j.work)
 	c.job = j
 	if !h.alive {
 		return
@@ -713,6 +715,7 @@
 }
 
 func (c *hostConn) problem(status int, code string) {
+	c.host.said = code
 	c.host.fleet.note(c.host, "refuse", c.job)
 	c.answer(status, []byte(`{"error":{"message":"`+code+`","type":"server_error","param":null,"code":"`+code+`"}}`))
 }
