--- a/choice/choice.go
+++ b/choice/choice.go
@@ -309,9 +309,10 @@
 }
 
 func (d *Dispatcher) afterWrite(g *generation, w *host, how Ending, note int) {
-	g.tried = append(g.tried, w)
-	if how == Full && note == 1 {
+	if how == Full && note == 1 { // the writer is not to blame, and may be the only one
 		d.dropState(g)
+	} else {
+		g.tried = append(g.tried, w)
 	}
 	switch {
 	case !d.mayRepeat(g, nil):
--- a/choice/decide_test.go
+++ b/choice/decide_test.go
@@ -292,3 +292,20 @@
 		}
 	}
 }
+
+// The only writer finds no state: it is not to blame, and what is read anew is written there. (It once counted as tried, and the
+// generation was held until its time limit.)
+func TestStateLostIsNotTheWritersFault(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.fleet(1, 0, 1)
+	g := w.written(1, 2000)
+	w.end(g, Full, 1)
+	w.pass(10 * ms)
+	if g.out() == nil || g.out().host.id != 1 {
+		t.Fatal("it is not read anew")
+	}
+	w.end(g, ReadDone, 0)
+	if g.out() == nil || g.out().host.id != 11 {
+		t.Error("it is not written at the only writer")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -237,3 +237,13 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Open is what the instance has under way: generations, legs that are out, generations held, tokens being read.
+func (d *Dispatcher) Open() (gens, legs, held int, reading float64) {
+	for _, g := range d.gens {
+		if g.out != nil {
+			legs++
+		}
+	}
+	return len(d.gens), legs, len(d.held) - d.gone, d.underway
+}
--- a/internal/lab/hosts/fleet.go
+++ b/internal/lab/hosts/fleet.go
@@ -189,3 +189,46 @@
 
 // Kind is the name of a host's kind.
 func (h *Host) Kind() string { return h.kind.Name }
+
+// Held is what all hosts that live have for generations: jobs, states that wait to be fetched, tokens of memory.
+func (f *Fleet) Held() (jobs, states, tokens int) {
+	for _, h := range f.Hosts {
+		if h.alive {
+			jobs, states, tokens = jobs+len(h.running)+len(h.waiting), states+len(h.states), tokens+h.used
+		}
+	}
+	return jobs, states, tokens
+}
+
+// Stage tells where a client's generation stands, and at which host: waiting, reading, fetching or writing; read where its state waits.
+func (f *Fleet) Stage(client string) (stage string, at *Host) {
+	for _, h := range f.Hosts {
+		if !h.alive {
+			continue
+		}
+		for _, s := range h.states {
+			if s.job.client == client {
+				stage, at = "read", h
+			}
+		}
+	}
+	for _, h := range f.Hosts {
+		for _, j := range h.waiting {
+			if j.client == client {
+				return "waiting", h
+			}
+		}
+		for _, j := range h.running {
+			switch {
+			case j.client != client:
+			case j.fetching:
+				return "fetching", h
+			case j.toRead > 0:
+				return "reading", h
+			default:
+				return "writing", h
+			}
+		}
+	}
+	return stage, at
+}
