Gone hosts are forgotten, and cells behind jammed links are asked once for all readers

Seen: the module kept every host that it ever heard of and looked at all of them for each decision: 30,006 after 30,000 replacements. Lines at fault: ListEnded (nothing ever left d.hosts), pickReader (pickWriter in the walk over readers). Change: a host that the lists have had not ready for ten minutes, with nothing out, is forgotten at the next list; one walk finds the cells whose own writers fit: 528 looked at and 5 allocations, at ten times the fleet 5,280 and 5 (1.00). What is decided is the same: TestCellsThatTake holds it against asking each reader's writer on 300 random fleets.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,7 @@
 	takeBack    = 2        // times that, after which legs are taken back
 	fullRest    = 150 * ms
 	reportStale = 5 * sec
+	forgetAfter = 600 * sec // a host that is not ready
 
 	coldShare   = 1.2 // of the fall rule's part; warm hosts are seen to do much less than they could
 	provenPart  = 0.9 // of the rule's multiple of what the cold host itself was seen to do
@@ -110,15 +111,23 @@
 	}
 }
 
-// ListEnded closes a list; a host that a whole list leaves out is gone.
+// ListEnded closes a list; a host that a whole list leaves out is gone, and after a while forgotten: where
+// hosts are replaced under new ids for months, a decision must not look at all that there ever were.
 func (d *Dispatcher) ListEnded(now Micros, whole bool) {
 	d.now, d.warmAt = now, [4]Micros{}
-	for _, h := range d.hosts {
-		if whole && !h.listed {
-			h.ready = false
+	d.hosts = slices.DeleteFunc(d.hosts, func(h *host) bool {
+		if h.ready = h.ready && (h.listed || !whole); h.ready {
+			h.goneAt = 0
+		} else if h.goneAt == 0 {
+			h.goneAt = now
 		}
 		h.listed = false
-	}
+		if h.goneAt == 0 || now-h.goneAt < forgetAfter || len(h.legs) > 0 || h.streams > 0 {
+			return false
+		}
+		delete(d.byID, h.id)
+		return true
+	})
 	d.admit(false)
 	d.arm()
 }
@@ -628,12 +637,17 @@
 		return d.least(d.candidates(g, Reader, Embedder), func(h *host) float64 { return d.wait(h, g) })
 	}
 	late := d.lateCells()
+	var takes []CellID
+	asked := false
 	readers := slices.DeleteFunc(d.candidates(g, Reader), func(r *host) bool {
 		if !d.linkJammed(r.cell, g, late) {
 			return false
 		}
-		w, fits := d.pickWriter(g, r)
-		return !fits || w.cell != r.cell
+		if !asked {
+			takes, asked = d.cellsThatTake(g), true
+		}
+		_, some := slices.BinarySearch(takes, r.cell)
+		return !some
 	})
 	key := uint64(g.prefix)
 	if key == 0 {
@@ -650,6 +664,35 @@
 	return least
 }
 
+// cellsThatTake are those with a writer that fits among the cell's own, which are all that a state behind a
+// jammed link may go to. One walk finds them for all readers.
+func (d *Dispatcher) cellsThatTake(g *generation) []CellID {
+	defer d.done(len(d.lists))
+	hosts, takes := d.writers(g), d.cells[:0]
+	slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.cell, b.cell) })
+	for len(hosts) > 0 {
+		n := 1
+		for n < len(hosts) && hosts[n].cell == hosts[0].cell {
+			n++
+		}
+		median := median(d.loads(hosts[:n]))
+		if slices.ContainsFunc(hosts[:n], func(h *host) bool { return d.fits(h, g, median) }) {
+			takes = append(takes, hosts[0].cell)
+		}
+		hosts = hosts[n:]
+	}
+	d.cells = takes
+	return takes
+}
+
+// writers are the candidates for a write; without any writer mixed hosts are.
+func (d *Dispatcher) writers(g *generation) []*host {
+	if hosts := d.candidates(g, Writer); len(hosts) > 0 {
+		return hosts
+	}
+	return d.candidates(g, Mixed)
+}
+
 // home is the prefix's hashed reader, alike at all dispatchers. A prefix that is a great part of the traffic
 // has further homes, shared out by session: many dispatchers that each see little would learn too late that
 // its one reader can't do it all.
@@ -733,10 +776,7 @@
 // none fits, the least filled past the limits. It tells whether the one it names fits.
 func (d *Dispatcher) pickWriter(g *generation, reader *host) (*host, bool) {
 	defer d.done(len(d.lists))
-	hosts := d.candidates(g, Writer)
-	if len(hosts) == 0 {
-		hosts = d.candidates(g, Mixed)
-	}
+	hosts := d.writers(g)
 	if reader != nil && d.linkJammed(reader.cell, g, d.lateCells()) {
 		inside := func(h *host) bool { return h.cell == reader.cell }
 		if slices.ContainsFunc(hosts, inside) {
--- a/choice/cost_test.go
+++ b/choice/cost_test.go
@@ -127,9 +127,9 @@
 	state = (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / float64(len(kept))
 	runtime.KeepAlive(kept)
 	all = map[string]cost{}
-	for _, jammed := range []bool{false, true} {
+	for _, name := range []string{"", ", jammed", ", links late"} {
+		jammed := name == ", jammed"
 		t := newTown(scale, jammed)
-		name := map[bool]string{false: "", true: ", jammed"}[jammed]
 		for range rounds {
 			note := func(what string, n int, do func(i int)) {
 				var a, b runtime.MemStats
@@ -162,6 +162,11 @@
 				t.jam(true)
 				t.d.held = held
 			}
+			if name == ", links late" {
+				for _, h := range t.d.hosts {
+					t.d.links[h.cell] = t.now
+				}
+			}
 			note("arrival", batch, func(i int) { ids[i] = t.arrive(0) })
 			if jammed {
 				note("outcome", batch, func(i int) { t.end(flying[i], Streamed) })
--- a/choice/decide_test.go
+++ b/choice/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"slices"
 	"testing"
 )
@@ -309,3 +310,74 @@
 		t.Error("it is not written at the only writer")
 	}
 }
+
+// Which cells' writers take a state is found by one walk for all readers; it must say what asking for each reader's writer said.
+func TestCellsThatTake(t *testing.T) {
+	both := map[bool]int{}
+	for seed := range int64(300) {
+		chance := rand.New(rand.NewSource(seed))
+		w := newWorld(t, two(Idempotent), seed)
+		for i := range 4 + chance.Intn(20) {
+			cell := CellID(chance.Intn(5))
+			w.list(&seen{id: HostID(i + 1), kind: KindID(chance.Intn(3)), zone: ZoneID(cell / 2), cell: cell})
+		}
+		for _, h := range w.d.hosts {
+			h.streams, h.held, h.memory, h.reportedAt = chance.Intn(5), float64(chance.Intn(150000)), -1, w.now
+			if chance.Intn(3) == 0 {
+				h.memory = chance.Float64()
+			}
+			h.heldThen = h.held
+		}
+		g := &generation{prompt: 2000, growth: 100, slo: w.now + sec, arrived: w.now}
+		for cell := range CellID(5) {
+			if w.d.links[cell] = w.now; chance.Intn(2) == 0 {
+				delete(w.d.links, cell)
+			}
+		}
+		takes := slices.Clone(w.d.cellsThatTake(g))
+		for _, r := range w.d.hosts {
+			if _, jammed := w.d.links[r.cell]; r.role != Reader || !jammed {
+				continue
+			}
+			asked, fits := w.d.pickWriter(g, r)
+			if want := fits && asked.cell == r.cell; slices.Contains(takes, r.cell) != want {
+				t.Fatalf("seed %d: cells %v take a state, the writer of a reader in %d says %v", seed, takes, r.cell, want)
+			} else {
+				both[want]++
+			}
+		}
+	}
+	if both[true] < 50 || both[false] < 50 {
+		t.Errorf("seen: %v", both)
+	}
+}
+
+// Hosts are replaced for months: what is gone is forgotten, and what a decision looks at does not grow. One that drains and comes
+// back before that is known as before.
+func TestReplacedHostsAreForgotten(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.fleet(3, 0, 1)
+	most := 0
+	for i := range 30000 {
+		old, next := w.hosts[HostID(i*7+1)], &seen{id: HostID(i*7 + 8), kind: KindID(i / 2 % 2), since: w.now}
+		if old == nil {
+			old = &seen{id: HostID(i*7 + 1)}
+		}
+		old.cond = Gone
+		w.now += 2 * sec
+		w.list(next, old)
+		delete(w.hosts, old.id)
+		most = max(most, len(w.d.hosts))
+	}
+	if most > 400 || len(w.d.byID) != len(w.d.hosts) {
+		t.Errorf("%d hosts are kept, %d by id", most, len(w.d.byID))
+	}
+	h := w.d.hosts[len(w.d.hosts)-1]
+	w.now += 7200 * sec // with no list
+	w.list(&seen{id: h.id, kind: h.kind, cond: Draining})
+	w.now += 60 * sec
+	w.list(&seen{id: h.id, kind: h.kind, since: h.since})
+	if w.d.byID[h.id] != h || !h.ready {
+		t.Error("one that came back is not known any more")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,7 @@
 	missed       []*generation // scratch, as what follows: a decision makes nothing anew that it can use again
 	lists        []*host
 	numbers      []float64
+	cells        []CellID
 	underway     float64    // tokens of the generations that are being read
 	usual        [2]float64 // usual time of a read and to a first token, in Micros
 	warm         [4]float64 // work a second that a warm host of each role was last seen to do
@@ -52,7 +53,8 @@
 	cell   CellID
 	role   Role
 	ready  bool
-	listed bool // named by the list being taken in
+	listed bool   // named by the list being taken in
+	goneAt Micros // since when it is not ready, as the lists have it; 0 = it is
 	since  Micros
 
 	legs                  []*leg // out and not yet answering, in the order of their sending
