Connections' books of hosts that are gone are dropped after a minute

Seen: the engine kept an entry for every host that it ever heard of, 3,002 after 3,000 replacements. Line at fault: Engine.Forget, which only closed what was idle. Change: a minute after it is gone, with nothing open, it is dropped; not at once, since what it holds may still have to be let go of where the list is wrong about it (tested too). Test, failing before: TestReplacedHostsLeaveNothing. Virtual time.

--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"plumspindle/choice"
 	"plumspindle/internal/deployment"
 	"plumspindle/internal/http1"
 	"plumspindle/internal/seam"
@@ -250,3 +251,28 @@
 	r.x.front.Most = 40
 	r.ends(r.ask("explain"), "streamed")
 }
+
+// Hosts are replaced for months: nothing of those that are gone is kept, and what runs at one that is listed as gone is let go of.
+func TestReplacedHostsLeaveNothing(t *testing.T) {
+	r := newRig(t, nil, "prefill west", "decode west")
+	for i := range 3000 {
+		e := r.hosts[1].entry("ready")
+		e.ID, e.Addr = choice.HostID(1000+i), "127.0.0.1:9"
+		r.told(e)
+		r.w.Run(500 * seam.Millisecond)
+		e.Condition = "gone"
+		r.told(e)
+	}
+	r.w.Run(120 * seam.Second)
+	if n := r.x.engine.Known(); n != 2 || len(r.x.hosts) != 2 {
+		t.Errorf("%d hosts are known to the legs, %d to the dispatcher", n, len(r.x.hosts))
+	}
+	r.ends(r.ask("explain"), "streamed")
+	r.hosts[1].serve = func(*line) {}
+	c := r.ask("review-post", "x-time-limit-ms", "900")
+	r.w.Run(100 * seam.Millisecond)
+	r.told(r.hosts[0].entry("gone"))
+	before := r.hosts[0].releases()
+	r.until(seam.Second, func() bool { return len(c.finals) > 0 })
+	r.letGoWithin(r.hosts[0], before, "a reader that is listed as gone")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,6 +32,7 @@
 	letGoPause  = 60 * seam.Millisecond
 	letGoWithin = 200 * seam.Millisecond
 	letGoSpare  = 4 // connections to one host beyond the most, for letting go
+	forgetAfter = 60 * seam.Second
 	roomTries   = 3 // connections that are closed so that one leg may have one
 	roomPause   = seam.Millisecond
 )
@@ -53,6 +54,7 @@
 
 type host struct {
 	addr    string
+	gone    bool
 	idle    []*trunk // the one used last comes last
 	open    int
 	opening int
@@ -74,6 +76,7 @@
 		e.hosts[id] = &host{addr: addr}
 		return
 	}
+	h.gone = false
 	if h.addr != addr {
 		h.addr = addr
 		h.closeIdle()
@@ -87,13 +90,35 @@
 	h.idle = nil
 }
 
-// Forget closes what is idle to a host that is gone.
+// Forget closes what is idle to a host that is gone. It is dropped after a while: what it holds may still have to be let go of,
+// as a list may be wrong about a host that runs.
 func (e *Engine) Forget(id choice.HostID) {
-	if h := e.hosts[id]; h != nil {
-		h.closeIdle()
+	h := e.hosts[id]
+	if h == nil {
+		return
+	}
+	h.closeIdle()
+	if !h.gone {
+		h.gone = true
+		e.drop(id, h)
 	}
 }
 
+func (e *Engine) drop(id choice.HostID, h *host) {
+	e.loop.After(forgetAfter, func() {
+		switch {
+		case !h.gone || e.hosts[id] != h:
+		case h.open > 0 || len(h.waiting) > 0:
+			e.drop(id, h)
+		default:
+			delete(e.hosts, id)
+		}
+	})
+}
+
+// Known is how many hosts it has anything of.
+func (e *Engine) Known() int { return len(e.hosts) }
+
 // Hearer is told what becomes of a leg: Event for each usable event of a write, then Ended once.
 type Hearer struct {
 	Event func(data []byte)
@@ -543,8 +568,8 @@
 
 // Close drops all connections.
 func (e *Engine) Close() {
-	for id := range e.hosts {
-		e.Forget(id)
+	for _, h := range e.hosts {
+		h.closeIdle()
 	}
 }
 
