What clients, batches and followers can have kept is bounded in all

Seen: each body had a bound and all together none: 120 generations that wait kept 2,265,000 bytes where 64 bodies of the largest size are 1,280,000, at the standard sizes 20,000 times 4 MiB; bodies that never end as much. The answers that calls with many inputs are going to have were not counted (4 calls: 498 MB). A follower of the administration that read nothing was written to without end. Ruled out, as they have bounds that are tested by reaching them: repeats (TestFloodOfKeys), vectors (TestBytes), a slow client's stream (TestClientThatDoesNotRead), held generations (open_most), a tenant's queue (TestLimits). Lines at fault: Whole.Data and embed's window, counted by connection only; batchCall.Added; conn.tell. Change: bodies count as they come, until their answer is given, 64 of the largest size in all; past it a request is throttled and nothing more of it kept. Answers of running calls: 256 MiB. A follower: 4 MiB, then it is cut off and asks for all again. Tests, failing before: TestBodiesHaveABound, TestAnswersOfBatchesHaveABound, TestFollowerThatDoesNotRead; each sees the memory given back and service returned. Virtual time.

--- a/internal/admin/room_test.go
+++ b/internal/admin/room_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/rs/zerolog"
 
+	"plumspindle/internal/dispatch"
 	"plumspindle/internal/http1"
+	"plumspindle/internal/seam"
+	"plumspindle/internal/sse"
 	"plumspindle/internal/store"
 	"plumspindle/internal/tenancy"
 	"plumspindle/internal/virtual"
@@ -97,3 +100,27 @@
 		t.Errorf("tenants after a start: %v", names)
 	}
 }
+
+// A follower that reads nothing is not written to without end: it is cut off, and asks for all when it comes back.
+func TestFollowerThatDoesNotRead(t *testing.T) {
+	y := newTown(t, 1)
+	c := &call{w: y.w, parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: 64 << 20}}
+	c.request = http1.AppendRequest(nil, "GET", "/internal/v1/tenants?epoch=&since=0", y.addr, nil, "Authorization", "Bearer "+dispatch.FeedToken(secret))
+	y.far.Do(func() { c.conn = y.far.Dial(y.addr, seam.Second, c) })
+	y.w.Run(100 * seam.Millisecond)
+	y.far.Do(func() { c.conn.Pause(true) })
+	most := 0
+	for i := range 400 {
+		r := &request{method: "POST", path: []string{"tenants"}, query: map[string]string{}, head: &http1.Head{}, who: caller{name: "ann", role: Operator},
+			body: []byte(fmt.Sprintf(`{"name":"t%d"}`, i))}
+		y.adminAt.Do(func() { y.a.call(r) })
+		y.adminAt.Do(func() { y.a.tellOn(tenancy.NewRegistry("")) }) // as when its follower has to be told all
+		for _, f := range y.a.followers {
+			most = max(most, f.conn.Unsent())
+		}
+		y.w.Run(10 * seam.Millisecond)
+	}
+	if most > 2*unsentMost || len(y.a.followers) != 1 {
+		t.Errorf("%d bytes are kept for one that does not read; %d followers", most, len(y.a.followers))
+	}
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -19,6 +19,8 @@
 	idleFor   = 60 * seam.Second
 	slowFor   = 10 * seam.Second
 	heartbeat = 4 * seam.Second
+
+	unsentMost = 4 << 20 // bytes that are kept for a follower that lags; past it it is cut off, and asks for all again
 )
 
 // request is one call, taken apart.
@@ -162,6 +164,10 @@
 
 func (c *conn) tell(news any) {
 	b, err := json.Marshal(news)
+	if c.conn.Unsent() > unsentMost {
+		c.conn.Abort()
+		return
+	}
 	if err == nil {
 		c.conn.Write(http1.AppendChunk(nil, sse.Append(nil, b)))
 	}
--- a/internal/dispatch/batches.go
+++ b/internal/dispatch/batches.go
@@ -23,6 +23,7 @@
 	partAnswer  = 32 << 20 // bytes of a host's answer to a part
 	cachesMost  = 64       // tenants' caches at once; the one that was not used for longest makes way
 	batchMargin = 20 * seam.Millisecond
+	answersMost = 256 << 20 // bytes that the answers of all calls that run may have
 )
 
 // batches is all calls with many inputs of one dispatcher. Their parts are generations like any other; which of them goes
@@ -33,6 +34,7 @@
 	turns   []*batcher // tenants that have calls, the next one first
 	calls   int
 	caches  []*tenantCache // the one used last comes last
+	answers int            // bytes that the answers of all calls that run are going to have
 }
 
 // batcher is one tenant's calls; they take turns too.
@@ -68,6 +70,7 @@
 	answer     embed.Answer
 	cache      *vectors.Cache
 	ended      bool
+	answers    int // bytes that its answer is going to have
 }
 
 // part ties a generation to the call that it is a part of.
@@ -89,7 +92,7 @@
 	if kind == embed.Rerank {
 		bounds.Inputs = int(b.DocumentsMost)
 	}
-	return front.Route{Method: "POST", Body: bounds.Body, Begin: func(head *http1.Head, who front.Identity, to *front.Reply) (front.Sink, *front.Problem) {
+	return front.Route{Method: "POST", Body: bounds.Body, Keeps: bounds.Window, Begin: func(head *http1.Head, who front.Identity, to *front.Reply) (front.Sink, *front.Problem) {
 		if p := front.IsJSON(head, "gzip", "zstd"); p != nil {
 			return nil, p
 		}
@@ -154,6 +157,12 @@
 	}
 	c.whole = c.whole || whole
 	n := len(c.ask.Inputs)
+	need := 4 * c.dimensions * (n - len(c.answer.Vectors))
+	if c.x.batches.answers+need > answersMost {
+		c.crowded()
+		return nil
+	}
+	c.x.batches.answers, c.answers = c.x.batches.answers+need, c.answers+need
 	c.answer.Vectors = append(c.answer.Vectors, make([][]byte, n-len(c.answer.Vectors))...)
 	c.answer.Scores = append(c.answer.Scores, make([]float64, n-len(c.answer.Scores))...)
 	b := batch.Bounds{Tokens: int(c.x.batches.pb.PartTokens), Inputs: int(c.x.batches.pb.PartInputs)}
@@ -438,6 +447,7 @@
 		x.batches.turns = slices.DeleteFunc(x.batches.turns, func(t *batcher) bool { return t == c.home })
 	}
 	x.batches.calls--
+	x.batches.answers -= c.answers
 	var out []batch.PartNo
 	for no := range c.out {
 		out = append(out, no)
@@ -488,6 +498,14 @@
 	c.to.Refuse(p)
 }
 
+// crowded: the answers of all calls together would take more memory than they may.
+func (c *batchCall) crowded() {
+	c.x.Throttled++
+	c.meter(path.AnswerThrottled)
+	c.end()
+	c.to.Refuse(&front.Problem{Status: 429, Type: "rate_limit_error", Code: "throttled", Message: "The service is busy. Please try again."})
+}
+
 // late: its client's time is up.
 func (c *batchCall) late() {
 	if c.ended {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,9 @@
 }
 
 const (
+	// bodies of the largest size that clients may have kept at once, in all. Each leg sends its generation's again, so that the
+	// memory that goes with them is a few times as much.
+	bodiesMost = 64
 	answerKept = 256 << 10   // bytes of one answer that are kept for repeats
 	keepEvery  = seam.Second // the list is kept at most this often
 	// descriptors that are for neither clients nor legs: the list's source, the administration, files, the poller. Of the rest
@@ -170,6 +173,7 @@
 	patience := front.UsualPatience
 	patience.Message, patience.Stall, patience.Unsent = ms(d.Doors.MessageMs), ms(d.Doors.StallMs), int(d.Doors.UnsentMost)
 	x.front = front.New(loop, x, x.routes(), bounds, patience)
+	x.front.Bodies = bodiesMost * bounds.Body
 	if n := post.Descriptors; n > 0 {
 		x.front.Most = max((n-min(descriptorsKept, n/2))/2, 1)
 	}
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -10,6 +12,7 @@
 	"plumspindle/internal/deployment"
 	"plumspindle/internal/http1"
 	"plumspindle/internal/seam"
+	"plumspindle/internal/sse"
 	"plumspindle/internal/store"
 	"plumspindle/internal/virtual"
 )
@@ -276,3 +279,101 @@
 	r.until(seam.Second, func() bool { return len(c.finals) > 0 })
 	r.letGoWithin(r.hosts[0], before, "a reader that is listed as gone")
 }
+
+// Bodies that wait with their generations, and bodies that never end, are kept up to a bound in all; past it requests are throttled
+// and nothing of them is kept. The memory comes back, and so does the service.
+func TestBodiesHaveABound(t *testing.T) {
+	const each = 19000
+	text := strings.Repeat("a", each-200)
+	for _, whole := range []bool{true, false} {
+		r := newRig(t, func(d deployment.Deployment) { d.Doors.BodyMost = 20000 }, "prefill west", "decode west")
+		r.told(r.hosts[1].entry("gone"))
+		bound, most := bodiesMost*20000, 0
+		var calls []*call
+		for range 120 {
+			if whole {
+				calls = append(calls, r.send(`{"model":"explain","stream":true,"messages":[{"role":"user","content":"`+text+`"}]}`))
+			} else {
+				c := &call{r: r, parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: 1 << 20}}
+				c.request = []byte("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\nContent-Type: application/json\r\nContent-Length: 20000\r\n\r\n" + text)
+				r.far.Do(func() { c.conn = r.far.Dial(r.addr, seam.Second, c) })
+				calls = append(calls, c)
+			}
+			r.w.Run(5 * seam.Millisecond)
+			most = max(most, r.x.front.Kept)
+		}
+		r.w.Run(100 * seam.Millisecond)
+		if most > bound || most < bound/2 {
+			t.Errorf("whole %v: %d bytes of bodies are kept, %d may be", whole, most, bound)
+		}
+		if whole {
+			throttled := 0
+			for _, c := range calls {
+				if len(c.finals) == 1 && c.finals[0] == "throttled" {
+					throttled++
+				}
+			}
+			if throttled < 40 || throttled > 70 || r.x.Running() > 70 {
+				t.Errorf("%d of 120 are throttled, %d run", throttled, r.x.Running())
+			}
+		}
+		r.w.Run(15 * seam.Second)
+		if r.x.front.Kept != 0 {
+			t.Errorf("whole %v: %d bytes are counted at the end", whole, r.x.front.Kept)
+		}
+		r.told(r.hosts[1].entry("ready"))
+		r.ends(r.ask("explain"), "streamed")
+	}
+}
+
+// The answers that calls with many inputs are going to have are bounded too.
+func TestAnswersOfBatchesHaveABound(t *testing.T) {
+	r := newRig(t, func(d deployment.Deployment) {
+		for _, p := range d.Products {
+			if p.Name == "embed" {
+				p.Dimensions, p.TimeLimitMs = 16384, 5000
+			}
+		}
+	}, "prefill west", "decode west")
+	r.hosts[0].serve = func(*line) {}
+	inputs := strings.Repeat(`"a b c",`, 1900)
+	body := func(i int) string {
+		return fmt.Sprintf(`{"model":"embed","input":[%s"last %d"]}`, strings.ReplaceAll(inputs, "a b c", fmt.Sprint("text ", i, " %")), i)
+	}
+	numbered := func(i int) string {
+		var b strings.Builder
+		for n, part := range strings.Split(body(i), "%") {
+			if n > 0 {
+				fmt.Fprint(&b, n)
+			}
+			b.WriteString(part)
+		}
+		return b.String()
+	}
+	post := func(i int) *call {
+		c := &call{r: r, parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: 1 << 20}}
+		c.request = http1.AppendRequest(nil, "POST", "/v1/embeddings", r.addr, []byte(numbered(i)), "Authorization", "Bearer "+key, "Content-Type", "application/json")
+		r.far.Do(func() { c.conn = r.far.Dial(r.addr, seam.Second, c) })
+		return c
+	}
+	var calls []*call
+	for i := range 4 {
+		calls = append(calls, post(i))
+	}
+	r.w.Run(500 * seam.Millisecond)
+	if n := r.x.batches.answers; n > answersMost || n < answersMost/3 {
+		t.Errorf("%d bytes of answers are going to be", n)
+	}
+	if f := calls[3].finals; len(f) != 1 || f[0] != "throttled" {
+		t.Errorf("the last call: %v", f)
+	}
+	r.w.Run(10 * seam.Second)
+	if r.x.batches.answers != 0 || r.x.front.Kept != 0 || r.x.batches.calls != 0 {
+		t.Errorf("at the end %d bytes of answers, %d of bodies, %d calls", r.x.batches.answers, r.x.front.Kept, r.x.batches.calls)
+	}
+	for i, c := range calls {
+		if len(c.finals) != 1 {
+			t.Errorf("call %d: %v", i, c.finals)
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,6 +37,7 @@
 type Route struct {
 	Method string
 	Body   int // bytes that a body may have; 0: as the front's bounds say
+	Keeps  int // bytes of a body that are kept at once, however long it is; 0: all
 	// Begin takes a request whose head has come: either it gives what takes the body, or the request is refused. Once the
 	// body's end was taken without a problem exactly one final answer is owed on the reply.
 	Begin func(head *http1.Head, who Identity, to *Reply) (Sink, *Problem)
@@ -127,6 +128,11 @@
 	// closed; connections beyond an eighth more are not served at all. What hosts, the list's source and the administration are
 	// reached by must not run out because clients hold all there is.
 	Most int
+	// Bodies, where it is above 0, is how many bytes of bodies are kept at once, of requests that come or wait for their answer; one
+	// that would go beyond it is throttled, and nothing more of it is kept.
+	Bodies int
+	// Kept is how many are.
+	Kept int
 }
 
 // New makes one; its Accept goes to Listen. Routes are by path; one that ends in a slash takes all paths below it.
@@ -235,6 +241,8 @@
 // deaf takes a body that is not looked at.
 type deaf struct{ end func() }
 
+func isDeaf(s Sink) bool { _, is := s.(*deaf); return is }
+
 func (d *deaf) Data([]byte) *Problem { return nil }
 func (d *deaf) End() *Problem        { d.end(); return nil }
 
@@ -285,6 +293,7 @@
 	}
 	c.over = true
 	if r := c.reply; r != nil && !r.taken {
+		r.free()
 		r.done, c.reply = true, nil // it is answered here, and nobody else was told of it
 		c.front.Open--
 	} else if r != nil {
@@ -313,9 +322,12 @@
 // Head, Body and End are the parser's events.
 func (c *client) Head(h *http1.Head) error {
 	c.head, c.sink, c.refuse = h, nil, nil
-	c.reply = &Reply{client: c, keep: h.KeepAlive() && !c.front.leaving}
+	c.reply = &Reply{client: c, stays: h.KeepAlive() && !c.front.leaving}
 	c.front.Open++
 	c.sink, c.refuse = c.front.begin(h, c.reply)
+	if r, some := c.front.route(h.Target); some {
+		c.reply.keeps = r.Keeps
+	}
 	if strings.EqualFold(h.Get("Expect"), "100-continue") {
 		c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -326,7 +338,18 @@
 	if c.came += len(b); c.came >= drawOut && !c.reply.paused {
 		c.awaitMessage()
 	}
-	if c.refuse == nil && c.sink != nil {
+	switch {
+	case c.refuse != nil || c.sink == nil:
+	case !isDeaf(c.sink) && !c.reply.keep(len(b)):
+		to := c.reply
+		if to.OnLeft != nil { // what takes the body has begun with it, and is told that nobody waits
+			to.OnLeft()
+			to.OnLeft = nil
+		}
+		to.free()
+		to.Pause(false)
+		c.sink = &deaf{func() { to.Throttled(0) }}
+	default:
 		c.refuse = c.sink.Data(b)
 	}
 	return nil
@@ -351,7 +374,7 @@
 func (f *Front) begin(head *http1.Head, to *Reply) (Sink, *Problem) {
 	if f.leaving || f.crowded() {
 		// Nothing ran; another dispatcher takes it.
-		to.keep = false
+		to.stays = false
 		return &deaf{func() { to.Throttled(0) }}, nil
 	}
 	path, _, _ := strings.Cut(head.Target, "?")
@@ -464,8 +487,10 @@
 // Reply carries one final answer to the client, and nothing after it.
 type Reply struct {
 	client *client
-	keep   bool
+	stays  bool // the connection does, after the answer
 	taken  bool // the whole request has come
+	kept   int  // bytes of its body
+	keeps  int
 	paused bool
 	begun  bool
 	done   bool
@@ -480,6 +505,25 @@
 // Done tells that the final answer was given, or that nobody waits for one.
 func (r *Reply) Done() bool { return r.done }
 
+// keep counts bytes of the body that are kept from now on, if there is room for them.
+func (r *Reply) keep(n int) bool {
+	f := r.client.front
+	if r.keeps > 0 {
+		n = max(min(n, r.keeps-r.kept), 0)
+	}
+	if f.Bodies > 0 && f.Kept+n > f.Bodies {
+		return false
+	}
+	r.kept, f.Kept = r.kept+n, f.Kept+n
+	return true
+}
+
+// free: nothing of the body is kept any more.
+func (r *Reply) free() {
+	r.client.front.Kept -= r.kept
+	r.kept = 0
+}
+
 // Begun tells that the first byte of a streamed answer has been sent.
 func (r *Reply) Begun() bool { return r.begun }
 
@@ -657,7 +701,7 @@
 		return
 	}
 	// The stream has begun: an error event, no closing mark, and the connection closes in mid-body.
-	r.keep = false
+	r.stays = false
 	r.client.conn.Write(http1.AppendChunk(nil, sse.Append(nil, p.Body())))
 	r.close()
 }
@@ -678,8 +722,8 @@
 		return
 	}
 	fields = append(fields, "Content-Type", "application/json")
-	r.keep = r.keep && !r.client.front.crowded()
-	if !r.keep {
+	r.stays = r.stays && !r.client.front.crowded()
+	if !r.stays {
 		fields = append(fields, "Connection", "close")
 	}
 	r.client.conn.Write(http1.AppendResponse(nil, status, body, fields...))
@@ -688,9 +732,10 @@
 
 func (r *Reply) close() {
 	c := r.client
+	r.free()
 	r.done = true
 	c.front.Open--
-	if r.keep && !c.front.leaving {
+	if r.stays && !c.front.leaving {
 		c.front.loop.Later(func() {
 			if c.reply == r && !c.over {
 				c.next()
@@ -708,6 +753,7 @@
 	if r.done {
 		return
 	}
+	r.free()
 	r.done = true
 	r.client.front.Open--
 	r.client.reply = nil
