The keeper's test waits until the first file is being written

Cause: with all three handed over before the writer began, only the last was written, into the pipe that stands in for a stalled disk, and the test waited for a file that never came (two of four runs on a loaded machine). Change: the first is waited for. Fifteen runs in a row pass; the test still fails with the write on the loop, which waits for the pipe's reader.

--- a/internal/program/keep_test.go
+++ b/internal/program/keep_test.go
@@ -16,9 +16,13 @@
 		t.Fatal(err)
 	}
 	k := newKeeper(path, true, func(error) {})
+	k.Keep([]byte("one"))
+	for len(k.next) > 0 { // until it is being written, into the pipe
+		time.Sleep(time.Millisecond)
+	}
 	done := make(chan struct{})
 	go func() {
-		for _, b := range []string{"one", "two", "three"} {
+		for _, b := range []string{"two", "three"} {
 			k.Keep([]byte(b))
 		}
 		close(done)
