A reader that can be reached again is told to let go, of all that it is owed at once

Releases were tried for twice let_go_ms and then never again; the cut had lasted longer. Line at fault: Engine.letGo, which gave up by the clock. Change: what a host has not been told is kept for 10 s, as long as hosts keep what nobody asks for, and told again in one request for all of it, after 60 to 240 ms. A dead host costs four tries a second in all, where each state had its own before. Test, failing before: TestReleaseAfterACut (five states, a cut of 3 s, no connection left). Virtual time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -162,7 +162,7 @@
 		hosts:    map[choice.HostID]roster.Entry{}}
 	x.engine = engine.New(loop, post.Name, post.Zone, engine.Trunks{Connect: ms(d.Dispatching.ConnectMs),
 		Idle: ms(d.Dispatching.IdleMs), Silence: ms(d.Dispatching.SilenceMs), Most: int(d.Dispatching.Connections),
-		Opening: int(d.Dispatching.Openings), LetGo: 2 * ms(d.Rules.LetGoMs)})
+		Opening: int(d.Dispatching.Openings)})
 	for i, p := range d.Products {
 		x.products[p.Name] = choice.ProductID(i)
 	}
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -377,3 +377,47 @@
 		}
 	}
 }
+
+// A reader can't be reached for longer than a state may wait: once it can be, it is told to let go, of all that came together.
+func TestReleaseAfterACut(t *testing.T) {
+	r := newRig(t, func(d deployment.Deployment) { d.Dispatching.IdleMs = 50 }, "prefill west", "decode west") // it has to connect anew
+	r.hosts[1].serve = func(*line) {}
+	var calls []*call
+	for range 5 {
+		calls = append(calls, r.ask("review-post", "x-time-limit-ms", "800"))
+	}
+	r.w.Run(300 * seam.Millisecond)
+	if r.hosts[1].legs() != 5 {
+		t.Fatalf("%d are being written", r.hosts[1].legs())
+	}
+	d, far := r.virtual(), r.far.(*virtual.Loop)
+	r.w.Block(far, d, 3*seam.Second)
+	r.w.Run(3 * seam.Second)
+	for i, c := range calls {
+		if len(c.finals) != 1 {
+			t.Errorf("call %d: %v", i, c.finals)
+		}
+	}
+	r.hosts[1].serve = write
+	let := func() string {
+		var b strings.Builder
+		for _, l := range r.hosts[0].seen {
+			if l.target == "/v1/kv/release" {
+				b.Write(l.body)
+			}
+		}
+		return b.String()
+	}
+	r.w.Run(seam.Micros(r.d.Rules.LetGoMs) * seam.Millisecond)
+	for i := range 5 {
+		if name := fmt.Sprintf(`"d-%d-0"`, i+1); !strings.Contains(let(), name) {
+			t.Errorf("the reader was not told to let go of %s: %s", name, let())
+		}
+	}
+	n := len(r.hosts[0].seen)
+	r.w.Run(12 * seam.Second)
+	if more := len(r.hosts[0].seen) - n; more > 0 {
+		t.Errorf("it was told %d times more", more)
+	}
+	r.ends(r.ask("review-post"), "streamed")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,18 +23,21 @@
 	Silence seam.Micros // a stream that has begun and brings nothing for so long counts as broken
 	Most    int         // connections to one host
 	Opening int         // of these, those that may be opening at once; legs beyond them wait, Connect at most
-	LetGo   seam.Micros // a host is told for so long to let go, where it can't be told at once
 }
 
 const (
-	answerMost  = 1 << 20   // bytes of a host's answer to a read, or of a refusal
-	eventMost   = 256 << 10 // bytes of one streamed event
-	letGoPause  = 60 * seam.Millisecond
-	letGoWithin = 200 * seam.Millisecond
-	letGoSpare  = 4 // connections to one host beyond the most, for letting go
-	forgetAfter = 60 * seam.Second
-	roomTries   = 3 // connections that are closed so that one leg may have one
-	roomPause   = seam.Millisecond
+	answerMost  = 1 << 20                // bytes of a host's answer to a read, or of a refusal
+	eventMost   = 256 << 10              // bytes of one streamed event
+	letGoWithin = 200 * seam.Millisecond // for the answer to one release
+	letGoPause  = 60 * seam.Millisecond  // before it is tried again, doubled each time
+	letGoFor    = 10 * seam.Second
+	letGoAtOnce = 256 // legs in one release
+
+	letGoPauseMost = 240 * seam.Millisecond
+	letGoSpare     = 4 // connections to one host beyond the most, for letting go
+	forgetAfter    = 60 * seam.Second
+	roomTries      = 3 // connections that are closed so that one leg may have one
+	roomPause      = seam.Millisecond
 )
 
 // Engine holds the connections to all hosts.
@@ -59,6 +62,9 @@
 	open    int
 	opening int
 	waiting []*waiter // legs that wait for a connection, first come first
+	owed    []owed
+	owing   bool // they are told again soon
+	pause   seam.Micros
 }
 
 // waiter is a leg that waits for a connection. After a restart all that was held asks at once; a host whose backlog
@@ -108,7 +114,7 @@
 	e.loop.After(forgetAfter, func() {
 		switch {
 		case !h.gone || e.hosts[id] != h:
-		case h.open > 0 || len(h.waiting) > 0:
+		case h.open > 0 || len(h.waiting) > 0 || len(h.owed) > 0:
 			e.drop(id, h)
 		default:
 			delete(e.hosts, id)
@@ -540,30 +546,68 @@
 	return nil
 }
 
-// LetGo has a host drop whatever it holds for some legs. It is tried again where it may not have arrived, and may have a
-// connection and a descriptor beyond those that legs may use, as a state must not be pinned by want of either; a host that can't
-// be reached at all lets go by its own lease.
+// LetGo has a host drop whatever it holds for some legs. It may have a connection and a descriptor beyond those that legs may use,
+// as a state must not be pinned by want of either. Where it may not have arrived it is tried again, with all else that the host is
+// owed in one request, for as long as a host keeps by its own lease what nobody asks for.
 func (e *Engine) LetGo(id choice.HostID, names []string) {
 	h := e.hosts[id]
 	if h == nil || len(names) == 0 {
 		return
 	}
-	e.letGo(h, []byte(`{"request_ids":["`+strings.Join(names, `","`)+`"]}`), e.loop.Now()+e.trunks.LetGo)
+	e.letGo(h, names, func(arrived bool) {
+		if !arrived {
+			for _, name := range names {
+				h.owed = append(h.owed, owed{name, e.loop.Now() + letGoFor})
+			}
+			e.owe(h)
+		}
+	})
 }
 
-func (e *Engine) letGo(h *host, body []byte, until seam.Micros) {
-	if h.addr == "" {
+// owed is a leg that a host has not been told to let go of.
+type owed struct {
+	name  string
+	until seam.Micros
+}
+
+// owe tells a host again after a pause, which grows while it can't be reached.
+func (e *Engine) owe(h *host) {
+	if h.owing || len(h.owed) == 0 {
 		return
 	}
-	l := &Leg{engine: e, host: h, reads: true, letsGo: true, memory: choice.NoReport, most: answerMost}
-	l.hear.Ended = func(o Outcome) {
-		if (l.head == nil || l.head.Status != 200) && e.loop.Now()+letGoPause < until {
-			e.loop.After(letGoPause, func() { e.letGo(h, body, until) })
+	h.owing = true
+	e.loop.After(max(h.pause, letGoPause), func() {
+		now := e.loop.Now()
+		h.owed = slices.DeleteFunc(h.owed, func(o owed) bool { return o.until < now })
+		n := min(len(h.owed), letGoAtOnce)
+		if n == 0 {
+			h.owing, h.pause = false, 0
+			return
 		}
-	}
+		var names []string
+		for _, o := range h.owed[:n] {
+			names = append(names, o.name)
+		}
+		e.letGo(h, names, func(arrived bool) {
+			h.owing = false
+			if h.pause = min(max(2*h.pause, letGoPause), letGoPauseMost); arrived {
+				h.owed, h.pause = slices.Delete(h.owed, 0, n), 0
+			}
+			e.owe(h)
+		})
+	})
+}
+
+func (e *Engine) letGo(h *host, names []string, done func(arrived bool)) {
+	l := &Leg{engine: e, host: h, reads: true, letsGo: true, memory: choice.NoReport, most: answerMost}
+	l.hear.Ended = func(Outcome) { done(l.head != nil && l.head.Status == 200) }
 	l.allow = e.loop.After(letGoWithin, func() { l.end(Outcome{How: choice.TimedOut}, true) })
-	e.carry(l, http1.AppendRequest(nil, "POST", "/v1/kv/release", h.addr, body, "Content-Type", "application/json",
-		"x-dispatcher", e.name, "x-zone", e.zone))
+	if h.addr == "" {
+		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable}, false) })
+		return
+	}
+	e.carry(l, http1.AppendRequest(nil, "POST", "/v1/kv/release", h.addr, []byte(`{"request_ids":["`+strings.Join(names, `","`)+`"]}`),
+		"Content-Type", "application/json", "x-dispatcher", e.name, "x-zone", e.zone))
 }
 
 // Close drops all connections.
