--- a/internal/lab/days/virtual.go
+++ b/internal/lab/days/virtual.go
@@ -238,15 +238,26 @@
 			l.crash(context.Background(), max(span, seam.Millisecond))
 		}
 	},
+	// Writes fail, and leave a part of themselves.
 	"disk_fault": func(p *Play, t *pb.Day_Trouble, span seam.Micros) {
 		for _, l := range p.picked(t.Share) {
-			l.folder.Fault = errors.New("input/output error")
+			l.folder.Fault, l.folder.Torn = errors.New("input/output error"), true
 			p.fleetAt.After(span, func() { l.folder.Fault = nil })
 		}
 	},
+	// The disk has room for a few bytes more.
+	"disk_full": func(p *Play, t *pb.Day_Trouble, span seam.Micros) {
+		for _, l := range p.picked(t.Share) {
+			l.folder.Room = l.folder.Used() + int(t.Factor) + 1
+			p.fleetAt.After(span, func() { l.folder.Room = 0 })
+		}
+	},
+	// Each write takes so many seconds; 0.15 if none are given.
 	"slow_disk": func(p *Play, t *pb.Day_Trouble, span seam.Micros) {
 		for _, l := range p.picked(t.Share) {
-			l.folder.Sync = 150 * seam.Millisecond
+			if l.folder.Sync = 150 * seam.Millisecond; t.Factor > 0 {
+				l.folder.Sync = seam.Micros(t.Factor * float64(seam.Second))
+			}
 			p.fleetAt.After(span, func() { l.folder.Sync = 2 * seam.Millisecond })
 		}
 	},
