--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -137,6 +137,7 @@
 	ran      bool          // some write of it may have run
 	ranFirst bool          // one before the last
 	intent   intent
+	alone    int   // bytes of its body, where it goes on without a client
 	part     *part // of a call with many inputs; nil: it is chat
 	seat     *seat
 	ticket   *tenancy.Ticket
@@ -498,7 +499,11 @@
 	g.replies = slices.Delete(g.replies, at, at+1)
 	x.Left++
 	if len(g.replies) > 0 || g.repeat != nil && (g.State == path.Writing || g.State == path.Streaming) {
-		x.take(g, path.CaughtUp) // it may have been the one that lagged
+		x.take(g, path.CaughtUp)                 // it may have been the one that lagged
+		if len(g.replies) == 0 && g.alone == 0 { // nobody's request holds its body any more, and it is kept all the same
+			g.alone = len(g.ask.Rest)
+			x.front.Kept += g.alone
+		}
 		return
 	}
 	x.take(g, path.ClientLeft)
@@ -659,6 +664,8 @@
 	if g.part != nil && g.final == 0 {
 		g.part.answered(g, path.Forget, 0) // taken back
 	}
+	x.front.Kept -= g.alone
+	g.alone = 0
 	x.remember(g, false) // where its client left before it was answered
 	x.paid(g)
 	x.loop.Later(func() { // the module answers first and then lets go, in one call
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -421,3 +421,21 @@
 	}
 	r.ends(r.ask("review-post"), "streamed")
 }
+
+// A keyed generation that goes on without its client counts with its body until it has ended.
+func TestBodyOfOneThatGoesOnAlone(t *testing.T) {
+	r := newRig(t, nil, "prefill west", "decode west")
+	r.hosts[1].serve = func(l *line) { r.far.After(seam.Second, func() { write(l) }) }
+	c := r.ask("review-post", "Idempotency-Key", "k")
+	r.w.Run(100 * seam.Millisecond)
+	r.far.Do(c.conn.Abort)
+	r.w.Run(100 * seam.Millisecond)
+	if r.x.front.Kept == 0 || r.x.Running() != 1 {
+		t.Errorf("%d bytes are counted, %d run", r.x.front.Kept, r.x.Running())
+	}
+	r.w.Run(2 * seam.Second)
+	if r.x.front.Kept != 0 || r.x.Running() != 0 {
+		t.Errorf("at the end %d bytes are counted, %d run", r.x.front.Kept, r.x.Running())
+	}
+	r.ends(r.ask("review-post", "Idempotency-Key", "k"), "streamed") // its answer is kept
+}
--- a/internal/lab/days/flood_test.go
+++ b/internal/lab/days/flood_test.go
@@ -4,14 +4,20 @@
 	"fmt"
 	"testing"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"plumspindle/internal/deployment"
 	"plumspindle/internal/lab/audit"
 )
 
 // flood plays a day on which one of three tenants asks for so many times its usual traffic, and gives the others' rows.
 func flood(t *testing.T, dispatchers int, factor float64, seed int64) (*audit.Verdict, []*audit.Row) {
+	return floodAt(t, 15, dispatchers, factor, seed)
+}
+
+func floodAt(t *testing.T, rate, dispatchers int, factor float64, seed int64) (*audit.Verdict, []*audit.Row) {
 	t.Helper()
-	text := `name: "flood" seconds: 20 rate: 15`
+	text := fmt.Sprintf(`name: "flood" seconds: 20 rate: %d`, rate)
 	if factor > 1 {
 		text += fmt.Sprintf(` troubles { at_ms: 5000 kind: "tenant_burst" factor: %v for_ms: 12000 }`, factor)
 	}
@@ -138,3 +144,23 @@
 		t.Errorf("written twice: %d with the record, %d without", twice[true], twice[false])
 	}
 }
+
+// Expected to fail (readiness-review.md, F28): with a share parted among four dispatchers, a tenant inside its share goes beyond its
+// part at one of them by chance, and waits there as surplus on a calm day. Once this passes it is to be taken in as a test.
+func TestCalmDayWithFourDispatchers(t *testing.T) {
+	p99 := map[int]float64{}
+	for _, dispatchers := range []int{1, 4} {
+		first := hdrhistogram.New(1, 60_000_000, 3)
+		for seed := int64(1); seed <= 4; seed++ {
+			_, others := floodAt(t, 18, dispatchers, 1, seed)
+			for _, r := range others {
+				first.Merge(r.First)
+			}
+		}
+		p99[dispatchers] = float64(first.ValueAtQuantile(99)) / 1000
+	}
+	t.Logf("p99 to the first token: %.0f ms at one dispatcher, %.0f at four", p99[1], p99[4])
+	if p99[4] <= 1.5*p99[1] {
+		t.Error("it passes now: make it a test like the others, and close F28 in docs/readiness-review.md")
+	}
+}
