A dispatcher's own check holds its legs against the module's

Cause: the review's own-state check counted parts and times only; a leg that one side has and the other has not was seen by what it broke later.

--- a/internal/dispatch/check.go
+++ b/internal/dispatch/check.go
@@ -23,7 +23,7 @@
 // fields fit where it stands, none has outlived its client's time unanswered, and what is counted is what there is.
 func (x *Dispatcher) Check() error {
 	now := x.loop.Now()
-	parts := 0
+	parts, legs := 0, 0
 	for id, g := range x.gens {
 		fault := ""
 		switch {
@@ -45,6 +45,9 @@
 		if fault != "" {
 			return fmt.Errorf("generation %d (%s), %v: %s", id, g.clientID, g.State, fault)
 		}
+		if g.LegOut() {
+			legs++
+		}
 		if g.part != nil && !g.part.queued && g.final == 0 && g.State != path.Over {
 			parts++
 		}
@@ -52,6 +55,9 @@
 	if out := x.batches.limiter.Out(); out != parts {
 		return fmt.Errorf("%d parts are out, and %d are counted", parts, out)
 	}
+	if gens, out, _, _ := x.module.Open(); out != legs || gens > len(x.gens) {
+		return fmt.Errorf("the module has %d generations and %d legs out, the dispatcher %d and %d", gens, out, len(x.gens), legs)
+	}
 	if n := x.front.Open; n < 0 {
 		return fmt.Errorf("%d requests are open", n)
 	}
