The list is heard again once there is room, and records on a disk that stalls, as tests

With all descriptors taken, the broken subscription comes back within 8 s of room and brings what was told meanwhile; a change on a stalled disk is refused in its time and the next one is taken once the disk answers, without a restart. The time is a field now, so that the test need not wait for 20 s.

--- a/internal/admin/files.go
+++ b/internal/admin/files.go
@@ -19,6 +19,7 @@
 	*store.Store
 	files  *store.Files
 	posted chan func()
+	within time.Duration
 }
 
 // diskWithin is how long the disk may take for one change before the store counts as failed.
@@ -27,7 +28,7 @@
 // OpenKept opens a folder's store, or makes it. Records of before the store, one file tenants.json with a log of changes
 // beside it, are moved in, all or nothing, and the files get names that end in .moved.
 func OpenKept(dir string) (*Kept, error) {
-	k := &Kept{posted: make(chan func(), 1024)}
+	k := &Kept{posted: make(chan func(), 1024), within: diskWithin}
 	var err error
 	if k.files, err = store.OpenFiles(dir, func(f func()) { k.posted <- f }); err != nil {
 		return nil, err
@@ -114,7 +115,7 @@
 	if err := ask(func(err error) { answered, failed = true, err }); err != nil {
 		return err
 	}
-	for late := time.After(diskWithin); !answered; {
+	for late := time.After(k.within); !answered; {
 		select {
 		case f := <-k.posted:
 			f()
--- a/internal/admin/room_test.go
+++ b/internal/admin/room_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -41,7 +42,7 @@
 	folder := w.Folder()
 	open := func() (*Kept, *Admin) {
 		loop := w.Loop("admin")
-		k := &Kept{posted: make(chan func(), 16)}
+		k := &Kept{posted: make(chan func(), 16), within: diskWithin}
 		var a *Admin
 		var err error
 		if k.Store, err = store.Open(&posted{folder.For(loop), w, k.posted}, store.Usual); err != nil {
@@ -124,3 +125,41 @@
 		t.Errorf("%d bytes are kept for one that does not read; %d followers", most, len(y.a.followers))
 	}
 }
+
+// The records' disk stalls: the change is refused in time, and the next one is taken once the disk answers again; the administration
+// is not started anew. Whether the one that was refused counts shows at the next start, as it is told.
+func TestRecordsOnADiskThatStalls(t *testing.T) {
+	w := virtual.New(1)
+	folder, loop := w.Folder(), w.Loop("admin")
+	k := &Kept{posted: make(chan func(), 16), within: 20 * time.Millisecond}
+	var a *Admin
+	var err error
+	if k.Store, err = store.Open(&posted{folder.For(loop), w, k.posted}, store.Usual); err != nil {
+		t.Fatal(err)
+	}
+	loop.Do(func() { a, err = Start(loop, secret, nil, k, rand.New(rand.NewSource(1)), zerolog.Nop()) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	add := func(name string) int {
+		return a.call(&request{method: "POST", path: []string{"tenants"}, query: map[string]string{}, head: &http1.Head{},
+			body: []byte(fmt.Sprintf(`{"name":%q}`, name)), who: caller{name: "ann", role: Operator}}).status
+	}
+	if got := add("one"); got != 201 {
+		t.Fatal(got)
+	}
+	folder.Sync = 60 * seam.Second // of the world's time, which the disk of this test lets pass by a second a call
+	for _, name := range []string{"two", "three"} {
+		if got := add(name); got != 500 {
+			t.Errorf("%s: %d with a disk that stalls", name, got)
+		}
+	}
+	folder.Sync = seam.Millisecond
+	w.Run(200 * seam.Second)
+	if got := add("four"); got != 201 || k.Failed() != nil {
+		t.Errorf("once the disk answers: %d, %v", got, k.Failed())
+	}
+	if names := fmt.Sprint(a.registry.Names()); names != "[four one]" {
+		t.Errorf("tenants: %s", names)
+	}
+}
--- a/internal/dispatch/stages_test.go
+++ b/internal/dispatch/stages_test.go
@@ -293,3 +293,44 @@
 	}
 	t.Logf("%d crossings", cells)
 }
+
+// The subscription to the list's source breaks while no descriptor is left, and clients take each that is given back: the list known
+// is served from, and once there is room the source is heard again, without a restart, with what it told meanwhile.
+func TestListIsHeardAgainOnceThereIsRoom(t *testing.T) {
+	y := newYard(t, true, true)
+	c := y.begin("warm", "explain", 500, false, 0)
+	y.until(5*seam.Second, func() bool { return len(c.finals) > 0 })
+	var mutes []*mute
+	y.virtual().Descriptors = y.virtual().Open() + 2
+	for i := range 6000 {
+		y.far.Do(func() {
+			y.far.After(seam.Micros(i)*500, func() {
+				m := &mute{}
+				m.conn = y.far.Dial(y.addr, seam.Second, m)
+				mutes = append(mutes, m)
+			})
+		})
+	}
+	y.w.Run(10 * seam.Millisecond)
+	y.far.Do(y.fleet.Roster.Break)
+	y.w.Run(500 * seam.Millisecond)
+	heard := y.x.heard
+	y.far.Do(func() { y.fleet.Hosts[1].Drain(60*seam.Second, 0) })
+	y.w.Run(2 * seam.Second)
+	if y.x.heard != heard {
+		t.Fatal("the source was heard without a descriptor")
+	}
+	y.virtual().Descriptors = 0
+	for _, m := range mutes {
+		y.far.Do(m.conn.Abort)
+	}
+	y.w.Run(8 * seam.Second)
+	if e := y.x.hosts[y.fleet.Hosts[1].Entry("").ID]; y.x.heard == heard || e.Condition != "draining" {
+		t.Errorf("heard %d times, then %d; the host is %q", heard, y.x.heard, e.Condition)
+	}
+	c = y.begin("after", "review-post", 500, false, 0)
+	y.until(5*seam.Second, func() bool { return len(c.finals) > 0 })
+	if len(c.finals) != 1 || c.finals[0] != "streamed" {
+		t.Errorf("afterwards: %v", c.finals)
+	}
+}
--- a/internal/lab/hosts/roster.go
+++ b/internal/lab/hosts/roster.go
@@ -156,3 +156,10 @@
 		book.Add(record.Event{At: now, What: "told", Dispatcher: w.name, Host: uint32(e.ID), How: e.Condition})
 	}
 }
+
+// Break resets the connections of all that watch, as a network does.
+func (r *Roster) Break() {
+	for _, w := range slices.Clone(r.watchers) {
+		w.conn.Abort()
+	}
+}
