--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -11,9 +11,8 @@
 	"math"
 	"slices"
 
-	"github.com/tidwall/gjson"
-
 	"plumspindle/choice"
+	"plumspindle/internal/terms"
 )
 
 const (
@@ -28,10 +27,6 @@
 	endings = map[byte]choice.Ending{0: choice.Streamed, 13: choice.Errored, 8: choice.Full, 4: choice.TimedOut,
 		14: choice.Unreachable, 10: choice.Dropped, 1: choice.Cancelled, 9: choice.NeverSent, 77: choice.ReadDone}
 	conditions = map[byte]choice.Condition{3: choice.Ready, 0: choice.Draining, 1: choice.Gone}
-	roles      = map[string]choice.Role{"read": choice.Reader, "write": choice.Writer, "both": choice.Mixed}
-	effects    = map[string]choice.Effect{"read_like": choice.Idempotent,
-		"idempotency_key": choice.Deduplicated, "non_idempotent": choice.SideEffecting}
-	groups = map[string]choice.Group{"all": choice.AllHosts, "zone": choice.SameZone, "cell": choice.SameCell}
 )
 
 // Serve answers frames until the input ends; any other end is an error that names the frame and the fault.
@@ -155,7 +150,7 @@
 	case 30:
 		in.Arrive(s.now, choice.GenID(u64(e[1:])), choice.SessionID(u64(e[13:])), choice.PrefixID(u64(e[26:])),
 			choice.ProductID(e[56]), choice.TenantID(binary.LittleEndian.Uint16(e[54:])), f32(e[50:]), f32(e[9:]),
-			f32(e[21:]), micros(u64(e[34:])), micros(u64(e[42:])))
+			f32(e[21:]), terms.Micros(u64(e[34:])), terms.Micros(u64(e[42:])))
 	case 40:
 		in.Started(s.now, choice.GenID(u64(e[1:])), choice.LegNo(binary.LittleEndian.Uint16(e[9:])))
 	case 50:
@@ -183,65 +178,13 @@
 }
 
 func (s *stage) attach(at uint32, seed uint64, info []byte) error {
-	if !gjson.ValidBytes(info) || !gjson.ParseBytes(info).IsObject() {
-		return errors.New("the start settings are not a JSON object")
-	}
-	get := gjson.ParseBytes(info).Get
-	span := func(path string) choice.Micros { return micros(get(path).Uint()) }
-	place := choice.Deployment{
-		Dispatchers:    int(get("group_size").Int()),
-		OverShareWorth: get("over_share_worth").Float(),
-		WritersRead:    get("domain.local_read").Bool(),
-		LegLimit:       int(get("limits.send_cap").Int()),
-		MayCancel:      get("limits.may_cancel").Bool(),
-		OnRequest:      get("discovery").String() == "on_request",
-		Tick:           span("tick"), Idle: span("limits.conn_idle"), Cold: span("obligations.cold"),
-		ColdFrom: get("obligations.cold_from").Float(), Fall: span("obligations.fall"),
-		FallMultiple: get("obligations.fall_multiple").Float(),
-	}
-	if get("limits.retry_after").Bool() {
-		place.MaxComeBack = span("limits.max_retry_after")
-	}
-	perK, pace := get("domain.aim_us_per_1000_prompt_tokens").Array(), get("domain.token_aim").Array()
-	for i, c := range get("request_classes").Array() {
-		effect, known := effects[c.Get("repeat").String()]
-		if !known {
-			return fmt.Errorf("request_classes %d: unknown repeat %q", i, c.Get("repeat").String())
-		}
-		group, known := groups[c.Get("group").String()]
-		if !known && effect == choice.Deduplicated {
-			return fmt.Errorf("request_classes %d: unknown group %q", i, c.Get("group").String())
-		}
-		p := choice.Product{SLO: micros(c.Get("aim").Uint()), Window: micros(c.Get("window").Uint()),
-			Effect: effect, Group: group, Revenue: c.Get("points").Float(), LateShare: c.Get("late_share").Float()}
-		if i < len(perK) {
-			p.SLOPer1000 = choice.Micros(perK[i].Float())
-		}
-		if i < len(pace) {
-			p.TokenSLO = micros(pace[i].Uint())
-		}
-		place.Products = append(place.Products, p)
-	}
-	memory := get("domain.kv_tokens").Array()
-	for i, k := range get("domain.duty_by_kind").Array() {
-		role, known := roles[k.String()]
-		if !known {
-			return fmt.Errorf("duty_by_kind %d: unknown duty %q", i, k.String())
-		}
-		kind := choice.Kind{Role: role}
-		if i < len(memory) {
-			kind.Memory = memory[i].Float()
-		}
-		place.Kinds = append(place.Kinds, kind)
-	}
-	for _, t := range get("projects").Array() {
-		place.Quotas = append(place.Quotas, t.Get("quota_per_s").Float())
+	t, err := terms.Read(info)
+	if err != nil {
+		return err
 	}
-	in := &instance{stage: s, who: at}
-	isMemory := func(f gjson.Result) bool { return f.String() == "x0" }
-	in.memoryAt = slices.IndexFunc(get("telemetry.fields").Array(), isMemory)
+	in := &instance{stage: s, who: at, memoryAt: slices.Index(t.Report, "x0")}
 	s.instances[at] = in
-	in.Dispatcher = choice.Start(s.now, int64(seed), place, in)
+	in.Dispatcher = choice.Start(s.now, int64(seed), t.Place, in)
 	return nil
 }
 
@@ -255,7 +198,7 @@
 	}
 	for raw := s.lists[e[9]]; len(raw) > 0; raw = raw[entrySize:] {
 		in.Listed(s.now, choice.HostID(u32(raw)), choice.ZoneID(raw[4]), choice.KindID(raw[5]),
-			choice.CellID(binary.LittleEndian.Uint16(raw[6:])), conditions[raw[8]], micros(u64(raw[13:])))
+			choice.CellID(binary.LittleEndian.Uint16(raw[6:])), conditions[raw[8]], terms.Micros(u64(raw[13:])))
 	}
 	in.ListEnded(s.now, e[10] != 0)
 	return nil
@@ -345,7 +288,4 @@
 	return v
 }
 
-// micros rounds down: a time limit must not look longer than it is.
-func micros(ns uint64) choice.Micros { return choice.Micros(min(ns, math.MaxInt64) / 1000) }
-
 func nanos(t choice.Micros) uint64 { return uint64(max(t, 0)) * 1000 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,7 @@
 	Silence seam.Micros // a stream that has begun and brings nothing for so long counts as broken
 	Most    int         // connections to one host
 	Opening int         // of these, those that may be opening at once; legs beyond them wait, Connect at most
+	All     int         // connections to all hosts, where it is above 0; before more are opened the one idle for longest is closed
 }
 
 const (
@@ -48,6 +49,7 @@
 	trunks Trunks
 	hosts  map[choice.HostID]*host
 	lastNo uint64
+	open   int
 }
 
 // New makes an engine without any host yet.
@@ -131,15 +133,34 @@
 	Ended func(Outcome)
 }
 
+// Call is a leg in whatever protocol over HTTP/1.1: what goes out, and how what comes back is read.
+type Call struct {
+	Request func(addr string) []byte
+	Answer  func(head *http1.Head, body []byte) Outcome // what an answer means that is not streamed
+	Stream  Stream                                      // nil: none is expected
+	Most    int                                         // bytes of an answer that is not streamed
+	Spare   bool                                        // it lets go of something, and must not wait for legs
+}
+
+// Stream reads the events of one streamed answer.
+type Stream interface {
+	// Event judges one; an error ends the leg.
+	Event(data []byte) (pass bool, err error)
+	// Ended is what the stream came to when its body was complete.
+	Ended() Outcome
+	// Broke is what it came to where it ended in a way it should not have.
+	Broke(how choice.Ending, why string) Outcome
+}
+
 // Leg is one send that is out.
 type Leg struct {
 	engine *Engine
 	host   *host
 	trunk  *trunk
 	hear   Hearer
-	reads  bool
-	judge  func(body []byte) Outcome // of what is complete with its read: reads its answer
-	most   int                       // bytes of an answer that is not streamed
+	answer func(head *http1.Head, body []byte) Outcome
+	stream Stream
+	most   int // bytes of an answer that is not streamed
 	allow  seam.Timer
 	ended  bool
 
@@ -150,12 +171,10 @@
 	room    int         // connections that were closed for it
 
 	// What the answer has told so far.
-	head     *http1.Head
-	body     []byte
-	events   sse.Parser
-	done     bool // [DONE] was seen
-	finished bool // an event gave the reason of the end
-	memory   float64
+	head   *http1.Head
+	body   []byte
+	events sse.Parser
+	memory float64
 }
 
 // LegName is how a leg is named to its host.
@@ -167,7 +186,7 @@
 // prompt itself. Neither calls back before it has returned.
 func (e *Engine) Read(id choice.HostID, name, clientID string, ask *chat.Ask, allow seam.Micros, hear Hearer) *Leg {
 	members := `"stream":false,"max_tokens":1,"kv_transfer_params":{"do_remote_decode":true,"do_remote_prefill":false}`
-	return e.leg(id, name, clientID, ask, members, true, allow, hear)
+	return e.leg(id, name, clientID, ask, members, nil, allow, hear)
 }
 
 func (e *Engine) Write(id choice.HostID, name, clientID string, ask *chat.Ask, state string, most int,
@@ -176,68 +195,96 @@
 	if state != "" {
 		members += `,"kv_transfer_params":` + state
 	}
-	return e.leg(id, name, clientID, ask, members, false, allow, hear)
+	return e.leg(id, name, clientID, ask, members, &chunks{}, allow, hear)
 }
 
 // Whole sends what is complete with its read. Its answer is read by judge, which says Errored of one that is not what was
 // asked for. It does not call back before it has returned.
 func (e *Engine) Whole(id choice.HostID, name, clientID, path string, body []byte, most int, allow seam.Micros, judge func(body []byte) Outcome,
 	hear Hearer) *Leg {
-	l := e.begin(id, true, allow, hear)
-	l.judge, l.most = judge, most
-	if !l.ended && l.host != nil && l.host.addr != "" {
-		e.carry(l, http1.AppendRequest(nil, "POST", path, l.host.addr, body, "Content-Type", "application/json", "x-request-id", name,
-			"x-client-request-id", clientID, "x-dispatcher", e.name, "x-zone", e.zone))
+	return e.Call(id, Call{Most: most, Answer: func(head *http1.Head, answer []byte) Outcome {
+		if head.Status != 200 {
+			return refused(head.Status, answer)
+		}
+		o := judge(answer)
+		o.Memory = 0 // as its head reports
+		return o
+	}, Request: func(addr string) []byte {
+		return http1.AppendRequest(nil, "POST", path, addr, body, "Content-Type", "application/json", "x-request-id", name,
+			"x-client-request-id", clientID, "x-dispatcher", e.name, "x-zone", e.zone)
+	}}, allow, hear)
+}
+
+// Call sends one. It does not call back before it has returned. A leg to a host without an address ends soon.
+func (e *Engine) Call(id choice.HostID, c Call, allow seam.Micros, hear Hearer) *Leg {
+	l := &Leg{engine: e, host: e.hosts[id], hear: hear, memory: choice.NoReport, answer: c.Answer, stream: c.Stream, most: c.Most,
+		letsGo: c.Spare, events: sse.Parser{Most: eventMost}}
+	l.allow = e.loop.After(allow, l.late)
+	if l.host == nil || l.host.addr == "" {
+		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host has no address"}, false) })
+		return l
 	}
+	e.carry(l, c.Request(l.host.addr))
 	return l
 }
 
-// begin makes a leg that is not on its way yet; one to a host without an address ends soon.
-func (e *Engine) begin(id choice.HostID, reads bool, allow seam.Micros, hear Hearer) *Leg {
-	l := &Leg{engine: e, host: e.hosts[id], hear: hear, reads: reads, memory: choice.NoReport, most: answerMost,
-		events: sse.Parser{Most: eventMost}}
-	l.allow = e.loop.After(allow, func() { l.end(Outcome{How: choice.TimedOut, Why: "not in the time allowed"}, true) })
-	if l.host == nil || l.host.addr == "" {
-		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host has no address"}, false) })
+// late: what was never handed to the network whole can't have run.
+func (l *Leg) late() {
+	if l.Unsent() {
+		l.end(Outcome{How: choice.Unreachable, Why: "not sent in the time allowed"}, true)
+		return
 	}
-	return l
+	l.end(Outcome{How: choice.TimedOut, Why: "not in the time allowed"}, true)
 }
 
-func (e *Engine) leg(id choice.HostID, name, clientID string, ask *chat.Ask, members string, reads bool,
+// Unsent tells that the leg's last byte has not left this process, so that no host can have begun it.
+func (l *Leg) Unsent() bool { return l.trunk == nil || !l.trunk.sent || l.trunk.conn.Unsent() > 0 }
+
+func (e *Engine) leg(id choice.HostID, name, clientID string, ask *chat.Ask, members string, stream Stream,
 	allow seam.Micros, hear Hearer) *Leg {
-	l := e.begin(id, reads, allow, hear)
-	if l.host == nil || l.host.addr == "" {
-		return l
-	}
-	if ask.Salt != "" {
-		members += `,"cache_salt":` + strconv.Quote(ask.Salt)
-	}
-	body := make([]byte, 0, len(members)+len(ask.Rest)+3)
-	body = append(append(body, '{'), members...)
-	if len(ask.Rest) > 0 {
-		body = append(append(body, ','), ask.Rest...)
+	answer := func(head *http1.Head, body []byte) Outcome {
+		switch {
+		case head.Status != 200:
+			return refused(head.Status, body)
+		case stream != nil:
+			return stream.Ended()
+		}
+		return readDone(body)
 	}
-	body = append(body, '}')
-	request := http1.AppendRequest(nil, "POST", "/v1/chat/completions", l.host.addr, body, "Content-Type",
-		"application/json", "x-request-id", name, "x-client-request-id", clientID, "x-dispatcher", e.name, "x-zone", e.zone)
-	e.carry(l, request)
-	return l
+	return e.Call(id, Call{Answer: answer, Stream: stream, Most: answerMost, Request: func(addr string) []byte {
+		if ask.Salt != "" {
+			members += `,"cache_salt":` + strconv.Quote(ask.Salt)
+		}
+		body := make([]byte, 0, len(members)+len(ask.Rest)+3)
+		body = append(append(body, '{'), members...)
+		if len(ask.Rest) > 0 {
+			body = append(append(body, ','), ask.Rest...)
+		}
+		body = append(body, '}')
+		return http1.AppendRequest(nil, "POST", "/v1/chat/completions", addr, body, "Content-Type",
+			"application/json", "x-request-id", name, "x-client-request-id", clientID, "x-dispatcher", e.name, "x-zone", e.zone)
+	}}, allow, hear)
 }
 
 // carry puts a leg onto an idle connection, or a new one.
 func (e *Engine) carry(l *Leg, request []byte) {
 	h := l.host
-	if n := len(h.idle); n > 0 {
+	for n := len(h.idle); n > 0; n = len(h.idle) {
 		t := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		t.idleTimer.Stop()
-		t.take(l, request)
-		return
+		t.retire()
+		if t.conn.Quiet() { // else what is written to it would be lost, or be answered by what was meant for another
+			t.take(l, request)
+			return
+		}
+		t.conn.Close()
 	}
 	most, dial := e.trunks.Most, e.loop.Dial
 	if l.letsGo {
 		most, dial = most+letGoSpare, e.loop.DialSpare
 	}
+	if e.trunks.All > 0 && e.open >= e.trunks.All {
+		e.makeRoom()
+	}
 	if h.open >= most {
 		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host's connections are all in use"}, false) })
 		return
@@ -252,6 +299,7 @@
 		return
 	}
 	h.open++
+	e.open++
 	h.opening++
 	t := &trunk{engine: e, host: h, addr: h.addr, parser: http1.Parser{Response: true, Bounds: http1.Usual}}
 	t.leg, t.request = l, request
@@ -411,11 +459,10 @@
 	}
 }
 
-// broke is the outcome of an answer that ended in a way it should not have. Where the writer had already told
-// how the answer ended, nothing of it is missing: it is complete.
+// broke is the outcome of an answer that ended in a way it should not have.
 func (l *Leg) broke(how choice.Ending, why string) Outcome {
-	if !l.reads && l.finished {
-		return Outcome{How: choice.Streamed, Why: "the writer had finished, then " + why}
+	if l.stream != nil {
+		return l.stream.Broke(how, why)
 	}
 	return Outcome{How: how, Why: why}
 }
@@ -423,6 +470,7 @@
 func (t *trunk) Closed(cause error) {
 	t.down = true
 	t.host.open--
+	t.engine.open--
 	if !t.up {
 		t.host.opening--
 	}
@@ -432,7 +480,7 @@
 	if l == nil {
 		return
 	}
-	if !t.sent {
+	if !t.sent || t.conn.Unsent() > 0 {
 		t.leg, l.trunk = nil, nil
 		if e := t.engine; errors.Is(cause, seam.ErrNoDescriptors) && l.room < roomTries && e.makeRoom() {
 			l.room++
@@ -476,7 +524,7 @@
 	if l == nil {
 		return errUnasked
 	}
-	if l.reads || l.head.Status != 200 || !strings.HasPrefix(l.head.Get("Content-Type"), "text/event-stream") {
+	if l.stream == nil || !l.streams() {
 		if l.body = append(l.body, b...); len(l.body) > l.most {
 			return errors.New("the answer is too long")
 		}
@@ -487,26 +535,60 @@
 
 // event takes one of the writer's.
 func (l *Leg) event(data []byte) error {
-	switch {
-	case l.ended:
+	if l.ended {
 		return nil
-	case l.done:
-		return errors.New("an event after the last")
+	}
+	l.heard = l.engine.loop.Now()
+	pass, err := l.stream.Event(data)
+	if err == nil && pass {
+		l.hear.Event(data)
+	}
+	return err
+}
+
+// chunks are the events of the published chat API.
+type chunks struct {
+	done     bool // [DONE] was seen
+	finished bool // an event gave the reason of the end
+}
+
+func (c *chunks) Event(data []byte) (pass bool, err error) {
+	switch {
+	case c.done:
+		return false, errors.New("an event after the last")
 	case string(data) == "[DONE]":
-		l.done = true
-		if !l.finished {
-			return errors.New("a last event before any reason of the end")
+		c.done = true
+		if !c.finished {
+			return false, errors.New("a last event before any reason of the end")
 		}
-		return nil
+		return false, nil
 	case !chat.Usable(data):
-		return fmt.Errorf("an event that is no chunk: %.60q", data)
+		return false, fmt.Errorf("an event that is no chunk: %.60q", data)
 	}
 	if gjson.GetBytes(data, "choices.0.finish_reason").Type == gjson.String {
-		l.finished = true
+		c.finished = true
 	}
-	l.heard = l.engine.loop.Now()
-	l.hear.Event(data)
-	return nil
+	return true, nil
+}
+
+func (c *chunks) Ended() Outcome {
+	if c.done {
+		return Outcome{How: choice.Streamed, Why: "streamed"}
+	}
+	return c.Broke(choice.Errored, "the stream ended without its last event")
+}
+
+// Broke: where the writer had already told how the answer ended, nothing of it is missing: it is complete.
+func (c *chunks) Broke(how choice.Ending, why string) Outcome {
+	if c.finished {
+		return Outcome{How: choice.Streamed, Why: "the writer had finished, then " + why}
+	}
+	return Outcome{How: how, Why: why}
+}
+
+// streams tells whether the answer is a stream of events.
+func (l *Leg) streams() bool {
+	return l.head.Status == 200 && strings.HasPrefix(l.head.Get("Content-Type"), "text/event-stream")
 }
 
 func (t *trunk) End() error {
@@ -515,24 +597,19 @@
 		return errUnasked
 	}
 	var o Outcome
-	switch {
-	case l.head.Status != 200:
-		o = refused(l.head.Status, l.body)
-	case l.judge != nil:
-		o = l.judge(l.body)
-		o.Memory = 0 // as its head reports
-	case l.reads:
-		o = readDone(l.body)
-	case l.done:
-		o = Outcome{How: choice.Streamed, Why: "streamed"}
-	default:
-		o = l.broke(choice.Errored, "the stream ended without its last event")
+	if l.stream != nil && l.streams() {
+		o = l.stream.Ended()
+	} else {
+		o = l.answer(l.head, l.body)
 	}
 	t.leg, l.trunk = nil, nil
 	t.conn.Pause(false)
-	if t.last || t.down || t.addr != t.host.addr {
+	switch {
+	case t.parser.More() > 0: // what is behind an answer must not be taken for the next one
+		t.conn.Abort()
+	case t.last || t.down || t.addr != t.host.addr || t.host.gone:
 		t.conn.Close()
-	} else {
+	default:
 		t.host.idle = append(t.host.idle, t)
 		t.engine.lastNo++
 		t.idleNo = t.engine.lastNo
@@ -599,7 +676,8 @@
 }
 
 func (e *Engine) letGo(h *host, names []string, done func(arrived bool)) {
-	l := &Leg{engine: e, host: h, reads: true, letsGo: true, memory: choice.NoReport, most: answerMost}
+	l := &Leg{engine: e, host: h, letsGo: true, memory: choice.NoReport, most: answerMost,
+		answer: func(*http1.Head, []byte) Outcome { return Outcome{How: choice.ReadDone} }}
 	l.hear.Ended = func(Outcome) { done(l.head != nil && l.head.Status == 200) }
 	l.allow = e.loop.After(letGoWithin, func() { l.end(Outcome{How: choice.TimedOut}, true) })
 	if h.addr == "" {
@@ -633,3 +711,23 @@
 	}
 	return 0
 }
+
+// Idle is how many connections to a host wait for a leg.
+func (e *Engine) Idle(id choice.HostID) int {
+	if h := e.hosts[id]; h != nil && !h.gone {
+		return len(h.idle)
+	}
+	return 0
+}
+
+// Connections is how many there are to all hosts.
+func (e *Engine) Connections() int { return e.open }
+
+// ForgetOthers forgets all hosts but those that a whole list names.
+func (e *Engine) ForgetOthers(listed map[choice.HostID]bool) {
+	for id := range e.hosts {
+		if !listed[id] {
+			e.Forget(id)
+		}
+	}
+}
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -96,8 +96,12 @@
 	body    int
 	most    int    // bytes that this body may have
 	waiting []byte // what came while held
+	more    int    // bytes behind the message that has just ended
 }
 
+// More is how many bytes came at once with the message that has just ended, behind it; for use within End.
+func (p *Parser) More() int { return p.more }
+
 // Idle tells that nothing of a message has been read yet.
 func (p *Parser) Idle() bool { return (p.state == inHead || p.state == held) && len(p.line) == 0 }
 
@@ -139,7 +143,7 @@
 				if p.state == inChunk {
 					p.state = inChunkEnd
 				} else {
-					err = p.end(ev)
+					err = p.end(ev, len(b))
 				}
 			}
 		case untilClose:
@@ -159,7 +163,7 @@
 func (p *Parser) Close(ev Events) error {
 	switch {
 	case p.state == untilClose:
-		return p.end(ev)
+		return p.end(ev, 0)
 	case p.Idle():
 		return nil
 	}
@@ -173,11 +177,13 @@
 	return ev.Body(b)
 }
 
-func (p *Parser) end(ev Events) error {
-	p.state, p.body, p.line = inHead, 0, p.line[:0]
+func (p *Parser) end(ev Events, more int) error {
+	p.state, p.body, p.line, p.more = inHead, 0, p.line[:0], more
 	return ev.End()
 }
 
+const protocol = "HTTP/1."
+
 var headEnd = []byte("\r\n\r\n")
 
 func (p *Parser) head(b []byte, ev Events) ([]byte, error) {
@@ -193,6 +199,9 @@
 	room := p.Bounds.Head + len(headEnd) - had
 	take := b[:min(len(b), max(room, 0))]
 	p.line = append(p.line, take...)
+	if n := min(len(p.line), len(protocol)); p.Response && string(p.line[:n]) != protocol[:n] {
+		return nil, fault(400, "no status line but %.20q", p.line) // noise may never bring the end of a head
+	}
 	from := max(had-len(headEnd)+1, 0)
 	at := bytes.Index(p.line[from:], headEnd)
 	if at < 0 {
@@ -221,7 +230,7 @@
 		return nil, err
 	}
 	if p.state == inBody && p.left == 0 {
-		return rest, p.end(ev)
+		return rest, p.end(ev, len(rest))
 	}
 	return rest, nil
 }
@@ -377,7 +386,7 @@
 		p.state = inChunkSize
 	case inTrailer:
 		if text == "" {
-			return b, p.end(ev)
+			return b, p.end(ev, len(b))
 		}
 	}
 	return b, nil
--- /dev/null
+++ b/internal/platform/door/ask.go
@@ -0,0 +1,154 @@
+package door
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"plumspindle/internal/http1"
+	"plumspindle/internal/seam"
+)
+
+// Ask is a request that is sound.
+type Ask struct {
+	ID      string // as the client wrote it, byte for byte
+	Product string
+	Tenant  string
+	Session string
+	Prefix  string
+	Target  string // path and query
+	Type    string // of the body
+	Prompt  float64
+	Shared  float64 // of the prompt
+	Most    float64 // of the answer
+	Came    seam.Micros
+	Limit   seam.Micros // counted from when the client sent it
+	Body    []byte
+}
+
+// Fields that a request may have once at most: a second one could be read differently behind us.
+var once = []string{"Req-Id", "Req-Kind", "Req-Key", "Req-Owner", "Req-Deadline", "Req-Extra", "Content-Length", "Transfer-Encoding", "Host"}
+
+const (
+	chatPath  = "/v1/chat/completions"
+	readyPath = "/up"
+	idMost    = 64 // bytes
+	limitMost = 3600 * seam.Second
+)
+
+// read takes what a head says; with neither an ask nor a refusal it asks whether the dispatcher is ready.
+func read(h *http1.Head) (*Ask, *Refusal) {
+	path, _, _ := strings.Cut(h.Target, "?")
+	switch {
+	case path == readyPath && h.Method == "GET":
+		return nil, nil
+	case path != chatPath:
+		return nil, &Refusal{404, "there is nothing at this path"}
+	case h.Method != "POST":
+		return nil, &Refusal{405, "only POST is served here"}
+	}
+	var seen [16]bool
+	a := &Ask{Target: h.Target, Type: h.Get("Content-Type")}
+	for _, f := range h.Fields {
+		for i, name := range once {
+			if len(f.Name) == len(name) && strings.EqualFold(f.Name, name) {
+				if seen[i] {
+					return nil, &Refusal{400, "two fields " + name}
+				}
+				seen[i] = true
+			}
+		}
+	}
+	a.ID, a.Product, a.Session, a.Tenant = h.Get("Req-Id"), h.Get("Req-Kind"), h.Get("Req-Key"), h.Get("Req-Owner")
+	if !readable(a.ID) {
+		return nil, &Refusal{400, "the field Req-Id is missing or can't be read"}
+	}
+	if a.Product == "" {
+		return nil, &Refusal{400, "the field Req-Kind is missing"}
+	}
+	limit, err := span(h.Get("Req-Deadline"))
+	if err != nil {
+		return nil, &Refusal{400, "the field Req-Deadline " + err.Error()}
+	}
+	a.Limit = limit
+	if err := a.extra(h.Get("Req-Extra")); err != nil {
+		return nil, &Refusal{400, "the field Req-Extra " + err.Error()}
+	}
+	return a, nil
+}
+
+// readable: an id is passed on as it is, in heads and paths, and so may hold only what is plain in both.
+func readable(id string) bool {
+	for i := 0; i < len(id); i++ {
+		c := id[i]
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.') {
+			return false
+		}
+	}
+	return id != "" && len(id) <= idMost && strings.Trim(id, ".") != ""
+}
+
+// span reads a number with its unit, m for milliseconds or u for microseconds.
+func span(text string) (seam.Micros, error) {
+	if text == "" {
+		return 0, fmt.Errorf("is missing")
+	}
+	digits, unit := text[:len(text)-1], text[len(text)-1]
+	n, err := strconv.ParseUint(digits, 10, 40)
+	if err != nil || unit != 'm' && unit != 'u' {
+		return 0, fmt.Errorf("is no number of m or u: %.20q", text)
+	}
+	t := seam.Micros(n)
+	if unit == 'm' {
+		t *= seam.Millisecond
+	}
+	return min(t, limitMost), nil
+}
+
+// extra reads pairs like prompt_len=5120; names that it does not know it passes over.
+func (a *Ask) extra(text string) error {
+	if text == "" {
+		return nil
+	}
+	for _, pair := range strings.Split(text, ",") {
+		name, value, some := strings.Cut(strings.TrimSpace(pair), "=")
+		if !some {
+			return fmt.Errorf("has no value for %.20q", name)
+		}
+		var to *float64
+		switch name {
+		case "prefix":
+			a.Prefix = value
+			continue
+		case "prompt_len":
+			to = &a.Prompt
+		case "prefix_len":
+			to = &a.Shared
+		case "max_out":
+			to = &a.Most
+		default:
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || n < 0 || n > math.MaxInt32 || n != n {
+			return fmt.Errorf("has a %s that is no length: %.20q", name, value)
+		}
+		*to = n
+	}
+	return nil
+}
+
+// whole judges a body: one that is not whole, as where a length was wrong, would be turned away by every model host in turn.
+func whole(body []byte) *Refusal {
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return &Refusal{400, "the body is not a JSON object"}
+	}
+	return nil
+}
+
+func seconds(t seam.Micros) string {
+	return strconv.FormatFloat(float64(t)/float64(seam.Second), 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/platform/watch/watch.go
@@ -0,0 +1,177 @@
+// Package watch follows the platform's discovery: the list of model hosts as it was last known, and what changes in it.
+package watch
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+
+	"plumspindle/choice"
+	"plumspindle/internal/seam"
+	"plumspindle/internal/subscribe"
+)
+
+const (
+	// The agent shows every two seconds that it is there.
+	silence = 4 * seam.Second
+	// It stands on this very machine and answers at no cost.
+	again = seam.Second
+	// A host's number is not given to another for so long after it is gone: longer than the module remembers hosts.
+	numberKept = 1800 * seam.Second
+)
+
+// Entry is one model host, as the list has it.
+type Entry struct {
+	ID         choice.HostID
+	Name       string
+	Addr       string
+	Zone, Kind string
+	Cell       choice.CellID
+	Condition  choice.Condition
+	Started    choice.Micros // 0: long ago
+}
+
+// Watch keeps the list.
+type Watch struct {
+	client  *subscribe.Client
+	loop    seam.Loop
+	version uint64
+	numbers map[choice.HostID]*number
+	news    func(entries []Entry, whole bool)
+	log     func(line string)
+	forgot  seam.Micros
+	Heard   uint64 // lists and changes
+}
+
+type number struct {
+	name string
+	gone seam.Micros // since when it is not listed; 0: it is
+}
+
+// New makes one that has not asked yet; news are told as they come.
+func New(loop seam.Loop, seed int64, addr string, news func([]Entry, bool), log func(string)) *Watch {
+	w := &Watch{loop: loop, numbers: map[choice.HostID]*number{}, news: news, log: log}
+	c := subscribe.NewClient(loop, seed, addr)
+	c.What, c.Lines, c.Silence, c.Again, c.Log = "discovery", true, silence, again, log
+	c.Target = func() string { return "/discovery/hosts?stream=1&index=" + strconv.FormatUint(w.version, 10) }
+	c.Take = w.Take
+	c.Forget = func() { w.version = 0 }
+	w.client = c
+	return w
+}
+
+// Begin asks from the version known on; Move asks at another address.
+func (w *Watch) Begin()           { w.client.Subscribe() }
+func (w *Watch) Move(addr string) { w.client.Move(addr) }
+func (w *Watch) Close()           { w.client.Close() }
+
+var conditions = map[string]choice.Condition{"SERVING": choice.Ready, "DRAINING": choice.Draining, "DELETED": choice.Gone}
+
+// Take takes one list, or the changes since the one before.
+func (w *Watch) Take(line []byte) error {
+	list := gjson.ParseBytes(line)
+	if !gjson.ValidBytes(line) || !list.Get("servers").IsArray() {
+		w.version = 0 // what it said is not known: the whole list is asked for
+		return fmt.Errorf("a list that can't be read: %.60q", line)
+	}
+	version, whole := list.Get("version").Uint(), list.Get("full").Bool()
+	if !whole && version < w.version {
+		have := w.version
+		w.version = 0
+		return fmt.Errorf("a change of version %d, where version %d is known", version, have)
+	}
+	var entries []Entry
+	now := w.loop.Now()
+	for i, s := range list.Get("servers").Array() {
+		e, err := w.entry(s, now)
+		if err != nil { // one that can't be read must not cost the others
+			w.log(fmt.Sprintf("discovery: entry %d of version %d: %v; it is passed over", i, version, err))
+			continue
+		}
+		entries = append(entries, e)
+	}
+	w.version = version
+	w.Heard++
+	w.forget(now)
+	if whole {
+		w.unlisted(entries, now)
+	}
+	if len(entries) > 0 || whole {
+		w.news(entries, whole)
+	}
+	return nil
+}
+
+func (w *Watch) entry(s gjson.Result, now seam.Micros) (e Entry, err error) {
+	e = Entry{Name: s.Get("id").String(), Addr: s.Get("addr").String(), Zone: s.Get("zone").String(), Kind: s.Get("kind").String()}
+	if e.Name == "" {
+		return e, fmt.Errorf("no id in %.80q", s.Raw)
+	}
+	cell := s.Get("cell").Int()
+	if cell < 0 || cell > math.MaxUint16 {
+		return e, fmt.Errorf("host %s: cell %d is out of range", e.Name, cell)
+	}
+	e.Cell = choice.CellID(cell)
+	condition, known := conditions[s.Get("state").String()]
+	if !known { // whatever it is, it is not said to serve
+		w.log(fmt.Sprintf("discovery: host %s: unknown state %.20q; nothing new is sent there", e.Name, s.Get("state").String()))
+		condition = choice.Draining
+	}
+	e.Condition = condition
+	if ms := s.Get("started_ms").Int(); ms > 0 {
+		e.Started = choice.Micros(min(ms, math.MaxInt64/2000)) * seam.Millisecond
+	}
+	e.ID = w.Number(e.Name)
+	n := w.numbers[e.ID]
+	if n.gone = 0; condition == choice.Gone {
+		n.gone = now
+	}
+	return e, nil
+}
+
+// Number is a hash of the id and nothing else, as a prefix's home is found by it, alike at every dispatcher and after a restart.
+// Where two ids have the same hash the later one is hashed again: they must not become one host.
+func (w *Watch) Number(name string) choice.HostID {
+	text := name
+	for {
+		id := choice.HostID(xxhash.Sum64String(text))
+		n := w.numbers[id]
+		if n == nil {
+			w.numbers[id] = &number{name: name}
+			return id
+		}
+		if n.name == name {
+			return id
+		}
+		text += "+"
+	}
+}
+
+// unlisted marks what a whole list leaves out.
+func (w *Watch) unlisted(entries []Entry, now seam.Micros) {
+	listed := map[choice.HostID]bool{}
+	for _, e := range entries {
+		listed[e.ID] = true
+	}
+	for id, n := range w.numbers {
+		if n.gone == 0 && !listed[id] {
+			n.gone = now
+		}
+	}
+}
+
+// forget drops the numbers of hosts that are long gone: they are replaced under new ids for months.
+func (w *Watch) forget(now seam.Micros) {
+	if now-w.forgot < numberKept/10 {
+		return
+	}
+	w.forgot = now
+	for id, n := range w.numbers {
+		if n.gone > 0 && now-n.gone > numberKept {
+			delete(w.numbers, id)
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -33,6 +33,7 @@
 	"plumspindle/internal/lab/audit"
 	"plumspindle/internal/lab/days"
 	"plumspindle/internal/lab/hosts"
+	"plumspindle/internal/platform/launch"
 	"plumspindle/internal/roster"
 	"plumspindle/internal/seam"
 	"plumspindle/internal/sockets"
@@ -44,6 +45,7 @@
 
 	Up       upCommand       `cmd:"" help:"Run the whole path on this machine: stand-in hosts with their roster, and one dispatcher."`
 	Serve    serveCommand    `cmd:"" help:"Run one dispatcher."`
+	Platform platformCommand `cmd:"" help:"Run one dispatcher on the users' platform, as its environment (BALANCER_CONFIG and others) says."`
 	Admin    adminCommand    `cmd:"" help:"Run the administration that tenants are added, limited and removed by."`
 	Tenant   tenantCommand   `cmd:"" help:"Add, limit and remove tenants, and make their keys, over the administration's API."`
 	Hosts    hostsCommand    `cmd:"" help:"Run the stand-in hosts of a deployment, with their roster."`
@@ -125,6 +127,12 @@
 	return rand.Int63()
 }
 
+// --- platform ---
+
+type platformCommand struct{}
+
+func (platformCommand) Run(s *surroundings) error { return launch.Run(s.log, os.Getenv) }
+
 // --- serve ---
 
 type serveCommand struct {
--- a/internal/seam/seam.go
+++ b/internal/seam/seam.go
@@ -32,7 +32,7 @@
 	Dial(addr string, within Micros, h Handler) Conn
 	// DialSpare is Dial for what must not wait for others: it may use one of a few descriptors that are kept back for it.
 	DialSpare(addr string, within Micros, h Handler) Conn
-	// Listen takes connections until the listener is closed. Only loopback addresses are accepted.
+	// Listen takes connections until the listener is closed. Only loopback addresses are accepted, where nothing else was asked for.
 	Listen(addr string, accept func(Conn) Handler) (Listener, error)
 }
 
@@ -60,6 +60,9 @@
 	Write(b []byte)
 	// Unsent is how many written bytes the network has not taken yet.
 	Unsent() int
+	// Quiet tells whether the other side is still there and has sent nothing that is not handed over yet. It asks the network, as that
+	// news may still be on its way up.
+	Quiet() bool
 	// Pause stops or resumes the handing over of data; while paused, little more than the socket's own
 	// buffer is taken in, so that the other side is slowed.
 	Pause(on bool)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -38,6 +38,10 @@
 	spares *spares
 	// Busy is what a connection is told that is turned away because no descriptor is left; it is set before Listen.
 	Busy []byte
+	// Anywhere lets Listen take any address that it is told, not only loopback's; TakeIn, where it is above 0, stands for takeInMost. Both
+	// are set before anything is opened.
+	Anywhere bool
+	TakeIn   int
 
 	// born counts connections that were handed to the poller. What a connection is made of is written before a count and
 	// read after one: nbio's own way of passing it on is not one that Go's memory model knows of.
@@ -256,7 +260,7 @@
 	for {
 		// Past the bound the socket is left to fill; but what the other side sent before it ended has to be taken now,
 		// as nbio closes with the rest unread as soon as it sees that end. That is at most what the socket holds.
-		if len(c.in) >= takeInMost && !hungUp(nb.Hash()) {
+		if len(c.in) >= c.l.takeIn() && !hungUp(nb.Hash()) {
 			c.stalled = true
 			break
 		}
@@ -285,6 +289,13 @@
 	}
 }
 
+func (l *Loop) takeIn() int {
+	if l.TakeIn > 0 {
+		return l.TakeIn
+	}
+	return takeInMost
+}
+
 // hungUp tells that the other side of a descriptor's connection has ended.
 func hungUp(fd int) bool {
 	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
@@ -313,7 +324,7 @@
 		c.posted = true
 		c.l.post(c.handOver)
 	}
-	stalled := c.stalled && len(c.in) < takeInMost/2
+	stalled := c.stalled && len(c.in) < c.l.takeIn()/2
 	if stalled {
 		c.stalled = false
 	}
@@ -387,6 +398,21 @@
 	}
 }
 
+// Quiet asks the socket: what the poller has seen may not have reached the loop yet.
+func (c *conn) Quiet() bool {
+	if c.nb == nil || c.ended || c.closing || c.cause != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if gone, _ := c.nb.IsClosed(); gone || c.gone || len(c.in) > 0 {
+		return false
+	}
+	p := []unix.PollFd{{Fd: int32(c.nb.Hash()), Events: unix.POLLIN | unix.POLLRDHUP}}
+	n, err := unix.Poll(p, 0)
+	return err == nil && n == 0
+}
+
 func (c *conn) Unsent() int { return int(c.unsent.Load()) }
 
 func (c *conn) Pause(on bool) {
@@ -456,61 +482,77 @@
 		}
 	}
 	c.dialing = l.After(within, func() { fail(errors.New("no connection in time")) })
-	dial := func() error {
-		return l.engine.DialAsyncTimeout("tcp", addr, 2*time.Duration(within)*time.Microsecond, func(nb *nbio.Conn, err error) {
-			if err == nil {
-				if code, e := syscall.GetsockoptInt(nb.Hash(), syscall.SOL_SOCKET, syscall.SO_ERROR); e != nil {
-					err = e
-				} else if code != 0 {
-					err = syscall.Errno(code)
-				}
-			}
-			if err == nil {
-				syscall.CloseOnExec(nb.Hash()) // see ownOnly
-				l.born.Add(1)
-				nb.SetSession(c)
+	// Not by nbio's own dialling: it takes the first four bytes of an address that has sixteen, and so reaches only this machine's own.
+	dialer := net.Dialer{Timeout: time.Duration(within) * time.Microsecond, KeepAlive: -1}
+	var dial func(again bool)
+	dial = func(again bool) {
+		raw, err := dialer.Dial("tcp", addr)
+		l.post(func() {
+			switch {
+			case noDescriptors(err) && again && !c.ended && l.spares.take():
+				go dial(false)
+			case noDescriptors(err):
+				l.dialed(c, nil, fmt.Errorf("%w: %w", seam.ErrNoDescriptors, err), fail)
+			case err != nil:
+				l.dialed(c, nil, fmt.Errorf("%w: %w", errRefused, err), fail)
+			default:
+				l.dialed(c, raw, nil, fail)
 			}
-			l.post(func() { l.dialed(c, nb, err, fail) })
 		})
 	}
-	err := dial()
-	if spare && noDescriptors(err) && l.spares.take() {
-		err = dial()
-	}
-	if noDescriptors(err) {
-		err = fmt.Errorf("%w: %w", seam.ErrNoDescriptors, err)
-	} else if err != nil {
-		err = fmt.Errorf("%w: %w", errRefused, err)
-	}
-	if err != nil {
-		l.Later(func() { c.dialing.Stop(); fail(err) })
-	}
+	go dial(spare)
 	return c
 }
 
-func (l *Loop) dialed(c *conn, nb *nbio.Conn, err error, fail func(error)) {
-	c.dialing.Stop()
-	c.dialing = nil
+func (l *Loop) dialed(c *conn, raw net.Conn, err error, fail func(error)) {
+	if c.dialing != nil {
+		c.dialing.Stop()
+		c.dialing = nil
+	}
 	if err != nil {
-		fail(fmt.Errorf("%w: %w", errRefused, err))
+		fail(err)
 		return
 	}
-	if c.ended || c.closing {
-		_ = nb.Close()
+	unwanted := func() bool {
+		if !c.ended && !c.closing {
+			return false
+		}
 		if !c.ended {
 			c.cause = errors.New("closed before it opened")
 			c.end()
 		}
+		return true
+	}
+	if unwanted() {
+		_ = raw.Close()
 		return
 	}
-	_ = nb.SetNoDelay(true)
-	c.nb = nb
-	if gone, err := nb.IsClosed(); gone {
-		c.closed(err)
+	nb, err := ownOnly(raw)
+	if err != nil {
+		_ = raw.Close()
+		fail(fmt.Errorf("%w: %w", seam.ErrNoDescriptors, err))
 		return
 	}
-	c.h.Opened()
-	c.takeIn(nb) // an edge may have come before the session was set
+	l.born.Add(1)
+	nb.SetSession(c)
+	_ = nb.SetNoDelay(true)
+	l.rounds.after(func() { // as for those that are accepted
+		if unwanted() {
+			_ = nb.Close()
+			return
+		}
+		if _, err := l.engine.AddConn(nb); err != nil {
+			c.closed(err)
+			return
+		}
+		c.nb = nb
+		if gone, err := nb.IsClosed(); gone {
+			c.closed(err)
+			return
+		}
+		c.h.Opened()
+		c.takeIn(nb) // an edge may have come before the session was set
+	})
 }
 
 // --- Listeners ---
@@ -526,7 +568,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %q: %w", addr, err)
 	}
-	if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+	if ip := net.ParseIP(host); !l.Anywhere && host != "localhost" && (ip == nil || !ip.IsLoopback()) {
 		return nil, fmt.Errorf("listen on %q: only loopback addresses are served", addr)
 	}
 	ln, err := net.Listen("tcp", addr)
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -2,6 +2,7 @@
 package subscribe
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand"
@@ -17,6 +18,7 @@
 	againLeast    = 200 * seam.Millisecond
 	againMost     = 5 * seam.Second
 	listMost      = 8 << 20 // bytes of one list
+	lineKept      = 4 << 10 // of the room that one took
 )
 
 // Gap is an event that does not follow on what is known; only a subscription from the beginning helps.
@@ -38,8 +40,11 @@
 	Fields []string // of the request's head: name, value, ...
 	What   string   // for logs
 	Log    func(line string)
+	// Lines: events are lines of their own, and an empty one only shows that the source is there; else they are streamed events.
+	Lines bool
+	// Silence is how long the source may say nothing, Again how long at most to wait before it is asked again.
+	Silence, Again seam.Micros
 
-	conn    seam.Conn
 	current *subscription
 	again   seam.Micros
 	waiting seam.Timer
@@ -48,13 +53,17 @@
 
 // NewClient makes a client that has not subscribed yet.
 func NewClient(loop seam.Loop, seed int64, addr string) *Client {
-	return &Client{loop: loop, rand: rand.New(rand.NewSource(seed)), addr: addr, again: againLeast}
+	return &Client{loop: loop, rand: rand.New(rand.NewSource(seed)), addr: addr, again: againLeast,
+		Silence: silence, Again: againMost}
 }
 
 // subscription is one connection to the source.
 type subscription struct {
 	c      *Client
+	conn   seam.Conn
 	parser http1.Parser
+	line   []byte
+	left   bool // another has taken its place
 	events sse.Parser
 	ok     bool
 	quiet  seam.Timer
@@ -67,7 +76,7 @@
 	}
 	s := &subscription{c: c, parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: listMost}}
 	c.current = s
-	c.conn = c.loop.Dial(c.addr, connectWithin, s)
+	s.conn = c.loop.Dial(c.addr, connectWithin, s)
 }
 
 // Close ends it.
@@ -77,30 +86,53 @@
 		c.waiting.Stop()
 	}
 	if c.current != nil {
-		c.conn.Close()
+		c.current.conn.Close()
 	}
 }
 
+// Move has the source asked at another address from now on, for what followed on what is known.
+func (c *Client) Move(addr string) {
+	if c.closed || addr == c.addr {
+		return
+	}
+	c.addr, c.again = addr, againLeast
+	if c.waiting != nil {
+		c.waiting.Stop()
+	}
+	if s := c.current; s != nil {
+		s.left, c.current = true, nil
+		s.conn.Abort()
+	}
+	c.Subscribe()
+}
+
 func (s *subscription) Opened() {
 	c := s.c
+	if s.left {
+		s.conn.Abort()
+		return
+	}
 	fields := append([]string{"Accept", "text/event-stream"}, c.Fields...)
-	c.conn.Write(http1.AppendRequest(nil, "GET", c.Target(), c.addr, nil, fields...))
-	s.quiet = c.loop.After(silence, c.conn.Abort)
+	s.conn.Write(http1.AppendRequest(nil, "GET", c.Target(), c.addr, nil, fields...))
+	s.quiet = c.loop.After(c.Silence, s.conn.Abort)
 }
 
 func (s *subscription) Drained() {}
 
 func (s *subscription) Data(b []byte) {
 	c := s.c
+	if s.left {
+		return
+	}
 	s.quiet.Stop()
-	s.quiet = c.loop.After(silence, c.conn.Abort)
+	s.quiet = c.loop.After(c.Silence, s.conn.Abort)
 	if err := s.parser.Feed(b, s); err != nil {
 		var gap *Gap
 		if errors.As(err, &gap) {
 			c.Forget()
 		}
 		c.Log(fmt.Sprintf("%s: %v; subscribing anew", c.What, err))
-		c.conn.Abort()
+		s.conn.Abort()
 	}
 }
 
@@ -112,13 +144,40 @@
 }
 
 func (s *subscription) Body(b []byte) error {
-	return s.events.Feed(b, func(data []byte) error {
-		if err := s.c.Take(data); err != nil {
-			return err
+	if s.c.Lines {
+		return s.lines(b)
+	}
+	return s.events.Feed(b, s.take)
+}
+
+func (s *subscription) take(data []byte) error {
+	if err := s.c.Take(data); err != nil {
+		return err
+	}
+	s.ok, s.c.again = true, againLeast
+	return nil
+}
+
+func (s *subscription) lines(b []byte) error {
+	for {
+		at := bytes.IndexByte(b, '\n')
+		if at < 0 {
+			if s.line = append(s.line, b...); len(s.line) > listMost {
+				return sse.ErrTooLong
+			}
+			return nil
 		}
-		s.ok, s.c.again = true, againLeast
-		return nil
-	})
+		s.line = append(s.line, b[:at]...)
+		b = b[at+1:]
+		if line := bytes.TrimSpace(s.line); len(line) > 0 {
+			if err := s.take(line); err != nil {
+				return err
+			}
+		}
+		if s.line = s.line[:0]; cap(s.line) > lineKept {
+			s.line = nil
+		}
+	}
 }
 
 func (s *subscription) End() error { return errors.New("it ended the subscription") }
@@ -128,12 +187,15 @@
 	if s.quiet != nil {
 		s.quiet.Stop()
 	}
+	if s.left {
+		return
+	}
 	c.current = nil
 	if c.closed {
 		return
 	}
 	if !s.ok {
-		c.again = min(2*c.again, againMost)
+		c.again = min(2*c.again, c.Again)
 	}
 	// A wait drawn by chance: dispatchers cut off together must not come back together.
 	wait := c.again/2 + seam.Micros(c.rand.Int63n(int64(c.again)))
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,108 @@
+// Package terms reads what a dispatcher is told about the place it serves in: the settings as the bench hands them to an
+// instance and as the platform writes them into a configuration. They are decoded here and nowhere else.
+package terms
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/tidwall/gjson"
+
+	"plumspindle/choice"
+)
+
+var (
+	roles   = map[string]choice.Role{"read": choice.Reader, "write": choice.Writer, "both": choice.Mixed}
+	effects = map[string]choice.Effect{"read_like": choice.Idempotent,
+		"idempotency_key": choice.Deduplicated, "non_idempotent": choice.SideEffecting}
+	groups = map[string]choice.Group{"all": choice.AllHosts, "zone": choice.SameZone, "cell": choice.SameCell}
+)
+
+// Terms are what the settings say.
+type Terms struct {
+	Place    choice.Deployment
+	Products []string // names, in the order of Place.Products
+	Kinds    []string // of model hosts, in the order of Place.Kinds
+	Zones    []string
+	Tenants  []string
+	Zone     int           // of this dispatcher
+	Deadline choice.Micros // the longest that any product's client waits
+	Connect  choice.Micros // a connection that is not made by then counts as not to be had
+	LetGo    choice.Micros // within which a state is taken or let go of
+	Report   []string      // names of the values of a load report
+}
+
+// Read decodes them. What it does not know it passes over; what it knows and can't read it names.
+func Read(raw []byte) (*Terms, error) {
+	if !gjson.ValidBytes(raw) || !gjson.ParseBytes(raw).IsObject() {
+		return nil, errors.New("the start settings are not a JSON object")
+	}
+	get := gjson.ParseBytes(raw).Get
+	span := func(path string) choice.Micros { return Micros(get(path).Uint()) }
+	t := &Terms{Zone: int(get("zone").Int()), Connect: span("limits.connect_timeout"), LetGo: span("domain.let_go_by"),
+		Zones: names(get("localities")), Kinds: names(get("host_types")), Report: names(get("telemetry.fields")),
+		Place: choice.Deployment{
+			Dispatchers:    int(get("group_size").Int()),
+			OverShareWorth: get("over_share_worth").Float(),
+			WritersRead:    get("domain.local_read").Bool(),
+			LegLimit:       int(get("limits.send_cap").Int()),
+			MayCancel:      get("limits.may_cancel").Bool(),
+			OnRequest:      get("discovery").String() == "on_request",
+			Tick:           span("tick"), Idle: span("limits.conn_idle"), Cold: span("obligations.cold"),
+			ColdFrom: get("obligations.cold_from").Float(), Fall: span("obligations.fall"),
+			FallMultiple: get("obligations.fall_multiple").Float(),
+		}}
+	if get("limits.retry_after").Bool() {
+		t.Place.MaxComeBack = span("limits.max_retry_after")
+	}
+	perK, pace := get("domain.aim_us_per_1000_prompt_tokens").Array(), get("domain.token_aim").Array()
+	for i, c := range get("request_classes").Array() {
+		effect, known := effects[c.Get("repeat").String()]
+		if !known {
+			return nil, fmt.Errorf("request_classes %d: unknown repeat %q", i, c.Get("repeat").String())
+		}
+		group, known := groups[c.Get("group").String()]
+		if !known && effect == choice.Deduplicated {
+			return nil, fmt.Errorf("request_classes %d: unknown group %q", i, c.Get("group").String())
+		}
+		p := choice.Product{SLO: Micros(c.Get("aim").Uint()), Window: Micros(c.Get("window").Uint()),
+			Effect: effect, Group: group, Revenue: c.Get("points").Float(), LateShare: c.Get("late_share").Float()}
+		if i < len(perK) {
+			p.SLOPer1000 = choice.Micros(perK[i].Float())
+		}
+		if i < len(pace) {
+			p.TokenSLO = Micros(pace[i].Uint())
+		}
+		t.Place.Products = append(t.Place.Products, p)
+		t.Products = append(t.Products, c.Get("name").String())
+		t.Deadline = max(t.Deadline, Micros(c.Get("deadline").Uint()))
+	}
+	memory := get("domain.kv_tokens").Array()
+	for i, k := range get("domain.duty_by_kind").Array() {
+		role, known := roles[k.String()]
+		if !known {
+			return nil, fmt.Errorf("duty_by_kind %d: unknown duty %q", i, k.String())
+		}
+		kind := choice.Kind{Role: role}
+		if i < len(memory) {
+			kind.Memory = memory[i].Float()
+		}
+		t.Place.Kinds = append(t.Place.Kinds, kind)
+	}
+	for _, p := range get("projects").Array() {
+		t.Place.Quotas = append(t.Place.Quotas, p.Get("quota_per_s").Float())
+		t.Tenants = append(t.Tenants, p.Get("name").String())
+	}
+	return t, nil
+}
+
+func names(list gjson.Result) (all []string) {
+	for _, n := range list.Array() {
+		all = append(all, n.String())
+	}
+	return all
+}
+
+// Micros rounds nanoseconds down: a time limit must not look longer than it is.
+func Micros(ns uint64) choice.Micros { return choice.Micros(min(ns, math.MaxInt64) / 1000) }
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -347,6 +347,10 @@
 	return c
 }
 
+func (c *conn) Quiet() bool {
+	return c.open && !c.ended && !c.closing && c.fin == nil && len(c.in) == 0
+}
+
 func (c *conn) Unsent() int { return len(c.waiting) }
 
 func (c *conn) Write(b []byte) {
