--- a/internal/platform/door/door.go
+++ b/internal/platform/door/door.go
@@ -511,3 +511,14 @@
 		r.OnLeft()
 	}
 }
+
+// Unsent is what is kept for each client that has not taken all it was sent.
+func (d *Door) Unsent() map[int]int {
+	kept := map[int]int{}
+	for c := range d.clients {
+		if n := c.conn.Unsent(); n > 0 {
+			kept[n]++
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/platform/door/door_test.go
@@ -0,0 +1,50 @@
+package door
+
+import (
+	"strings"
+	"testing"
+
+	"plumspindle/internal/http1"
+	"plumspindle/internal/seam"
+)
+
+func TestSpan(t *testing.T) {
+	for text, want := range map[string]seam.Micros{"4800m": 4800 * seam.Millisecond, "17u": 17, "0m": 0, "999999999999u": limitMost} {
+		if got, err := span(text); err != nil || got != want {
+			t.Errorf("%q: %d, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "m", "4800", "4.5m", "+4m", "-4m", " 4m", "4 m", "4ms", "4s", "0x4m", "99999999999999999999m"} {
+		if got, err := span(text); err == nil {
+			t.Errorf("%q was taken for %d", text, got)
+		}
+	}
+}
+
+// take is a parser's events that go to read, as a client's do.
+type take struct {
+	t    *testing.T
+	body []byte
+}
+
+func (e *take) Head(h *http1.Head) error {
+	ask, refusal := read(h)
+	if ask != nil && refusal != nil || ask != nil && (!readable(ask.ID) || ask.Limit < 0 || !(ask.Prompt >= 0 && ask.Shared >= 0 && ask.Most >= 0)) {
+		e.t.Errorf("%+v, %+v", ask, refusal)
+	}
+	if ask != nil && (strings.ContainsAny(ask.Target+ask.Type, "\r\n") || strings.Contains(ask.ID, "/")) {
+		e.t.Errorf("a field that does not go out as it is: %+v", ask)
+	}
+	return nil
+}
+func (e *take) Body(b []byte) error { e.body = append(e.body, b...); return nil }
+func (e *take) End() error          { whole(e.body); e.body = nil; return nil }
+
+func FuzzRequest(f *testing.F) {
+	f.Add("POST /v1/chat/completions HTTP/1.1\r\nReq-Id: 9b1f\r\nReq-Kind: chat\r\nReq-Deadline: 4800m\r\nReq-Extra: prefix=5c,prompt_len=5120,max_out=1e9\r\nContent-Length: 2\r\n\r\n{}")
+	f.Add("GET /up HTTP/1.1\r\n\r\nPOST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		p := http1.Parser{Bounds: http1.Bounds{Head: 16 << 10, Fields: 100, Body: 256 << 10}}
+		_ = p.Feed([]byte(text), &take{t: t})
+	})
+}
--- /dev/null
+++ b/internal/platform/legs/legs_test.go
@@ -0,0 +1,92 @@
+package legs
+
+import (
+	"testing"
+
+	"plumspindle/choice"
+	"plumspindle/internal/engine"
+	"plumspindle/internal/http1"
+)
+
+// TestOutcomes holds the platform's table of what comes back against the results of the simulator's wire: the same ending, and the
+// same word on whether the leg has run. What no answer decides (connections, time) is played in package platform.
+func TestOutcomes(t *testing.T) {
+	said := []http1.Field{{Name: "Srv-Declined", Value: "1"}}
+	for _, c := range []struct {
+		status int
+		fields []http1.Field
+		body   string
+		read   bool
+		how    choice.Ending
+		note   int
+	}{
+		{202, nil, `{"cached_tokens":4096}`, true, choice.ReadDone, 4096},
+		{202, nil, `{"cached_tokens":-1}`, true, choice.ReadDone, 0},
+		{202, nil, `nonsense`, true, choice.ReadDone, 0},
+		{202, nil, ``, false, choice.Errored, 0},
+		{200, nil, `{}`, true, choice.Errored, 0},
+		{500, nil, ``, true, choice.Errored, 0},
+		{500, said, ``, false, choice.Errored, 0},
+		{503, said, ``, true, choice.Full, 0},
+		{503, said, ``, false, choice.Full, 0},
+		{504, said, ``, false, choice.Full, 0},
+		{410, said, ``, false, choice.Full, 1},
+		{503, nil, ``, false, choice.Errored, 0},
+		{504, []http1.Field{{Name: "Srv-Declined", Value: "0"}}, ``, false, choice.Errored, 0},
+		{410, nil, ``, false, choice.Errored, 0},
+		{404, said, ``, false, choice.Errored, 0},
+	} {
+		judge := Unstreamed
+		if c.read {
+			judge = Read
+		}
+		if o := judge(&http1.Head{Status: c.status, Fields: c.fields}, []byte(c.body)); o.How != c.how || o.Note != c.note {
+			t.Errorf("%d %v %q: %d with note %d, want %d with %d", c.status, c.fields, c.body, o.How, o.Note, c.how, c.note)
+		}
+	}
+}
+
+func TestEvents(t *testing.T) {
+	for _, c := range []struct {
+		events []string
+		bad    bool // one of them is no event
+		how    choice.Ending
+		note   int
+	}{
+		{nil, false, choice.Errored, 0},
+		{[]string{`{"choices":[]}`}, false, choice.Streamed, 0},
+		{[]string{`{"choices":[]}`, `{"usage":{"prompt_tokens_details":{"cached_tokens":7}}}`, `[DONE]`}, false, choice.Streamed, 7},
+		{[]string{`{"choices":[]}`, `[DONE]`, `{"choices":[]}`}, true, choice.Streamed, 0},
+		{[]string{`{"cho`}, true, choice.Errored, 0},
+	} {
+		e, bad := &events{}, false
+		for _, data := range c.events {
+			pass, err := e.Event([]byte(data))
+			if bad = bad || err != nil; pass == (err != nil) {
+				t.Errorf("%q: passed on %v with error %v", data, pass, err)
+			}
+		}
+		if o := e.Ended(); bad != c.bad || o.How != c.how || o.Note != c.note {
+			t.Errorf("%q: %d with note %d, bad %v", c.events, o.How, o.Note, bad)
+		}
+		if o := e.Broke(choice.Dropped, ""); o.How != choice.Dropped { // what has no last chunk is never whole
+			t.Errorf("%q: broken, and yet %d", c.events, o.How)
+		}
+	}
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add(202, `{"cached_tokens":4096}`, `{"choices":[]}`)
+	f.Add(503, `{`, `[DONE]`)
+	f.Fuzz(func(t *testing.T, status int, body, event string) {
+		for _, judge := range []func(*http1.Head, []byte) engine.Outcome{Read, Unstreamed} {
+			if o := judge(&http1.Head{Status: status}, []byte(body)); o.Note < 0 || o.How == choice.Full || o.How == choice.Streamed {
+				t.Errorf("%d %q: %+v", status, body, o)
+			}
+		}
+		e := &events{}
+		if pass, err := e.Event([]byte(event)); pass == (err != nil) || e.kept < 0 {
+			t.Errorf("%q: passed on %v with error %v", event, pass, err)
+		}
+	})
+}
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -339,3 +339,30 @@
 		t.Errorf("%d of 18,000 were not answered", n)
 	}
 }
+
+// TestDialsWhatItIsTold guards against a dial that reaches this machine's first address in place of the one that it was told, as
+// nbio's own did.
+func TestDialsWhatItIsTold(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.8.1.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, err := Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Stop()
+	h := &told{opened: make(chan bool, 2)}
+	l.Do(func() { l.Dial(ln.Addr().String(), 5*seam.Second, h) })
+	if !<-h.opened {
+		t.Error("not connected")
+	}
+}
+
+type told struct{ opened chan bool }
+
+func (h *told) Opened()      { h.opened <- true }
+func (h *told) Data([]byte)  {}
+func (h *told) Drained()     {}
+func (h *told) Closed(error) { h.opened <- false }
