Homes in the dispatcher's own zone first; near writers that hold little are not passed over

A prefix now has a home in each zone and one among all. The own zone's goes first; where it is busy that of all zones, then the least-loaded. A near writer is passed over only above 0.6 of its memory.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,7 +28,8 @@
 	arrivalsMost = 1000    // generations after which the prefixes' counts are halved
 	mixedShare   = 1.3     // times the writers' mean load, up to which mixed hosts take generations whole
 	nearFactor   = 1.3     // times the mean fill of the writers of other cells that a near one may have, and
-	nearFloor    = 0.1     // this share more
+	nearFloor    = 0.1     // this share more;
+	nearLittle   = 0.6     // this share it may have however empty the others are
 	meanOver     = 0.25    // seconds, for each other dispatcher, over which what is held at a host is averaged
 	alike        = 4       // dispatchers that may find the same host the least filled
 
@@ -658,8 +659,21 @@
 	if least == nil || key == 0 {
 		return least
 	}
-	if home := d.home(g, key, readers); wait(home) <= homeFactor*wait(least)+homeFloor {
-		return home
+	// A prefix has a home in each zone and one among all. The own zone's goes first: links between zones are
+	// long and charged for. Where it is busy that of all goes before the least-loaded, which may not have kept
+	// the text.
+	from := len(d.lists)
+	for _, h := range readers {
+		if h.zone == d.Zone {
+			d.lists = append(d.lists, h)
+		}
+	}
+	for _, homes := range [2][]*host{d.lists[from:], readers} {
+		if len(homes) > 0 {
+			if home := d.home(g, key, homes); wait(home) <= homeFactor*wait(least)+homeFloor {
+				return home
+			}
+		}
 	}
 	return least
 }
@@ -793,7 +807,7 @@
 		}
 	}
 	d.numbers = outside
-	most := nearFactor*mean(outside) + nearFloor
+	most := max(nearFactor*mean(outside)+nearFloor, nearLittle)
 	// The step that the least filled is looked for in: the cell, the zone, anywhere, past the limits.
 	first := 4
 	for i, h := range hosts {
--- a/choice/decide_test.go
+++ b/choice/decide_test.go
@@ -26,7 +26,7 @@
 	w.list(&seen{id: 1, kind: 0}, &seen{id: 11, kind: 1}, &seen{id: 12, kind: 1},
 		&seen{id: 13, kind: 1, zone: 1, cell: 1})
 	far := 0
-	for i := range 20 {
+	for i := range 40 {
 		g := w.written(GenID(i+1), 4000)
 		if g.out().host.zone == 1 {
 			far++
@@ -381,3 +381,46 @@
 		t.Error("one that came back is not known any more")
 	}
 }
+
+// A prefix is read in its dispatcher's own zone, at the same reader by all dispatchers there; where that one is busy it is read at
+// the home of all zones, which keeps the text too, before any other reader.
+func TestHomeInTheOwnZone(t *testing.T) {
+	homes := map[ZoneID]HostID{}
+	for seed := range int64(8) {
+		zone := ZoneID(seed % 2)
+		place := two(Idempotent)
+		place.Zone = zone
+		w := newWorld(t, place, seed)
+		var all []*seen
+		for i := range 4 {
+			all = append(all, &seen{id: HostID(i + 1), zone: ZoneID(i % 2)}, &seen{id: HostID(i + 11), kind: 1, zone: ZoneID(i % 2)})
+		}
+		w.list(all...)
+		home := w.arrive(1, 0, 9000, 6*sec).out().host
+		if home.zone != zone {
+			t.Errorf("read in zone %d by a dispatcher of zone %d", home.zone, zone)
+		}
+		if before, some := homes[zone]; some && before != home.id {
+			t.Errorf("zone %d: read at %d and at %d", zone, before, home.id)
+		}
+		homes[zone] = home.id
+		next := w.arrive(4, 0, 2000, 6*sec).out().host
+		common := w.d.home(w.d.gens[4], 1, []*host{w.d.byID[1], w.d.byID[2], w.d.byID[3], w.d.byID[4]})
+		if common.id != home.id && next.id != common.id {
+			t.Errorf("with its home busy it is read at %d and not at %d", next.id, common.id)
+		}
+	}
+}
+
+// On an easy day nothing is gained by passing over near writers, whose states need no link: they are passed over once they hold much.
+func TestNearWritersWhileLittleIsHeld(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.list(&seen{id: 1, kind: 0}, &seen{id: 11, kind: 1}, &seen{id: 12, kind: 1}, &seen{id: 13, kind: 1, zone: 1, cell: 1})
+	for i := range 10 {
+		g := w.written(GenID(i+1), 4000)
+		if h := g.out().host; h.zone == 1 {
+			t.Fatalf("the %dth left its zone, with %v and %v held of 140000 near", i+1, w.d.byID[11].held, w.d.byID[12].held)
+		}
+		w.start(g)
+	}
+}
--- a/choice/face.go
+++ b/choice/face.go
@@ -112,6 +112,7 @@
 // Deployment is what an instance is told at its start about the place it serves in.
 type Deployment struct {
 	Dispatchers    int
+	Zone           ZoneID // that this dispatcher stands in
 	Products       []Product
 	Kinds          []Kind
 	Quotas         []float64 // generations a second inside each tenant's share, over all dispatchers
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,6 +182,7 @@
 	x.recall()
 	x.place = d.Module()
 	x.place.Quotas = nil // told tenant by tenant, as they come
+	x.place.Zone = choice.ZoneID(slices.Index(d.Zones, post.Zone))
 	var orders choice.Orders = x
 	place := x.place
 	if t := post.Plant; t != nil && t.Place != nil {
--- a/internal/explore/reject_test.go
+++ b/internal/explore/reject_test.go
@@ -8,10 +8,10 @@
 	"plumspindle/internal/deployment/pb"
 )
 
-// coldDay has half of the readers restart under so much traffic that only the rule on cold hosts holds it back.
+// coldDay has all readers restart under so much traffic that only the rule on cold hosts holds it back.
 func coldDay(seed int64) *pb.Day {
-	return &pb.Day{Name: "cold", Seconds: 6, Rate: 150, World: &pb.World{Seed: seed, Dispatchers: 4, LatencyUs: 300},
-		Troubles: []*pb.Day_Trouble{{Kind: "mass_restart", AtMs: 3000, ForMs: 300, HostKind: "prefill", Share: 0.5}}}
+	return &pb.Day{Name: "cold", Seconds: 6, Rate: 200, World: &pb.World{Seed: seed, Dispatchers: 4, LatencyUs: 300},
+		Troubles: []*pb.Day_Trouble{{Kind: "mass_restart", AtMs: 3000, ForMs: 300, HostKind: "prefill", Share: 1}}}
 }
 
 // rejected are planted faults by the rule that they break, each with the seed at which it was seen to break that rule alone.
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -44,6 +44,7 @@
 		Zones: names(get("localities")), Kinds: names(get("host_types")), Report: names(get("telemetry.fields")),
 		Place: choice.Deployment{
 			Dispatchers:    int(get("group_size").Int()),
+			Zone:           choice.ZoneID(get("zone").Uint()),
 			OverShareWorth: get("over_share_worth").Float(),
 			WritersRead:    get("domain.local_read").Bool(),
 			LegLimit:       int(get("limits.send_cap").Int()),
