--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -418,10 +418,14 @@
 	last      bool // the host closes after this answer
 	idleTimer seam.Timer
 	idleNo    uint64 // in the order in which connections fell idle
+	carried   int    // legs before this one
+	idleAt    seam.Micros
+	idled     seam.Micros // for how long it was idle before this leg
 }
 
 func (t *trunk) take(l *Leg, request []byte) {
 	t.leg, l.trunk, t.sent = l, t, true
+	t.idled = t.engine.loop.Now() - t.idleAt
 	t.conn.Write(request)
 }
 
@@ -503,7 +507,7 @@
 	if err != nil && t.parser.Idle() {
 		why = "no answer came"
 	}
-	l.end(l.broke(choice.Dropped, fmt.Sprintf("%s: %v", why, cause)), false)
+	l.end(l.broke(choice.Dropped, fmt.Sprintf("%s: %v; leg %d on it, after %d ms idle", why, cause, t.carried+1, t.idled/seam.Millisecond)), false)
 }
 
 var errUnasked = errors.New("an answer that nobody asked for")
@@ -613,6 +617,8 @@
 		t.host.idle = append(t.host.idle, t)
 		t.engine.lastNo++
 		t.idleNo = t.engine.lastNo
+		t.carried++
+		t.idleAt = t.engine.loop.Now()
 		t.idleTimer = t.engine.loop.After(t.engine.trunks.Idle, func() {
 			t.retire()
 			t.conn.Close()
--- a/internal/platform/door/door.go
+++ b/internal/platform/door/door.go
@@ -512,13 +512,10 @@
 	}
 }
 
-// Unsent is what is kept for each client that has not taken all it was sent.
-func (d *Door) Unsent() map[int]int {
-	kept := map[int]int{}
+// Unsent is how many bytes are kept for the client that lags most.
+func (d *Door) Unsent() (most int) {
 	for c := range d.clients {
-		if n := c.conn.Unsent(); n > 0 {
-			kept[n]++
-		}
+		most = max(most, c.conn.Unsent())
 	}
-	return kept
+	return most
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -507,7 +507,7 @@
 // Standing describes the dispatcher in a few numbers, for logs.
 func (x *Dispatcher) Standing() string {
 	gens, legs, held, _ := x.module.Open()
-	return fmt.Sprintf("generations %d, legs %d, held %d; connections: clients %d, hosts %d; taken %d, streamed %d, broken %d, throttled %d, terminated %d, left %d, legs %d, endings %v; releases %d in %d tries, late %d; door refused %d, crowded %d, silent %d; hosts ready %d, list heard %s",
-		gens, legs, held, x.door.Connections(), x.legs.Connections(), x.Taken, x.Streamed, x.Broken, x.Throttled, x.Terminated, x.Left, x.Legs, x.Endings,
+	return fmt.Sprintf("generations %d, legs %d, held %d; connections: clients %d, hosts %d; unsent %d at most; taken %d, streamed %d, broken %d, throttled %d, terminated %d, left %d, legs %d, endings %v; releases %d in %d tries, late %d; door refused %d, crowded %d, silent %d; hosts ready %d, list heard %s",
+		gens, legs, held, x.door.Connections(), x.legs.Connections(), x.door.Unsent(), x.Taken, x.Streamed, x.Broken, x.Throttled, x.Terminated, x.Left, x.Legs, x.Endings,
 		x.legs.Releases, x.legs.Tries, x.legs.Late, x.door.Refused, x.door.Crowded, x.door.Silent, len(x.ready), strconv.FormatUint(x.watch.Heard, 10))
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -443,10 +443,8 @@
 	r.until(seam.Second, "its stream", func() bool { return len(c.got) > 0 })
 	r.far.Do(func() { c.conn.Pause(true) })
 	r.w.Run(4 * seam.Second)
-	for client := range r.x.door.Unsent() {
-		if client > 96<<10 { // the bound, and what one turn may bring past it
-			t.Errorf("%d bytes are kept for it", client)
-		}
+	if n := r.x.door.Unsent(); n > 96<<10 { // the bound, and what one turn may bring past it
+		t.Errorf("%d bytes are kept for it", n)
 	}
 	r.far.Do(func() { c.conn.Pause(false) })
 	if got := r.final(c); got != 200 || len(c.got) != many+1 {
