--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -53,7 +53,7 @@
 
 // Each planted fault is found. The seed where a search from 1 on found it is tried first; a change of the program may have moved it.
 func TestPlantsAreFound(t *testing.T) {
-	at := []int64{5, 5, 5, 18, 32, 0, 5, 1, 1, 0, 68, 32, 0, 65, 30, 0, 33, 1, 1, 1, 39, 2}
+	at := []int64{5, 5, 5, 18, 32, 0, 5, 1, 1, 0, 68, 32, 0, 65, 30, 0, 149, 1, 1, 1, 39, 2}
 	several(0, int64(len(Plants())-1), func(i int64) {
 		p := Plants()[i]
 		if int(i) >= len(at) || at[i] == 0 {
--- a/internal/lab/days/flood_test.go
+++ b/internal/lab/days/flood_test.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// Expected to fail (readiness-review.md, F28): with a share parted among four dispatchers, a tenant inside its share goes beyond its
-// part at one of them by chance, and waits there as surplus on a calm day. Once this passes it is to be taken in as a test.
+// With a share parted among four dispatchers, a tenant inside its share goes beyond its part at one of them by chance, and waits there
+// as surplus; that must not be felt on a calm day (readiness-review.md, F28).
 func TestCalmDayWithFourDispatchers(t *testing.T) {
 	p99 := map[int]float64{}
 	for _, dispatchers := range []int{1, 4} {
@@ -160,7 +160,7 @@
 		p99[dispatchers] = float64(first.ValueAtQuantile(99)) / 1000
 	}
 	t.Logf("p99 to the first token: %.0f ms at one dispatcher, %.0f at four", p99[1], p99[4])
-	if p99[4] <= 1.5*p99[1] {
-		t.Error("it passes now: make it a test like the others, and close F28 in docs/readiness-review.md")
+	if p99[4] > 1.5*p99[1] {
+		t.Errorf("p99 to the first token: %.0f ms at one dispatcher, %.0f at four", p99[1], p99[4])
 	}
 }
