--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1009,8 +1009,8 @@
 		d.age(h)
 		h.done += d.typical[l.gen.product]
 	case Full:
-		h.heard = d.now
-		if note != 1 {
+		if note != 1 { // that a state is gone may be known without a word from the host
+			h.heard = d.now
 			h.fullUntil = d.now + fullRest
 		}
 	case Errored, Dropped, Unreachable:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -67,14 +67,14 @@
 	owed    []owed
 	owing   bool // they are told again soon
 	pause   seam.Micros
+	heard   seam.Micros // when it last said anything
 }
 
 // waiter is a leg that waits for a connection. After a restart all that was held asks at once; a host whose backlog
 // overflows would refuse many that it could serve a moment later.
 type waiter struct {
-	leg     *Leg
-	request []byte
-	timer   seam.Timer
+	leg   *Leg
+	timer seam.Timer
 }
 
 // Place tells where a host is reached. Connections to where it was before are not used again.
@@ -135,7 +135,7 @@
 
 // Call is a leg in whatever protocol over HTTP/1.1: what goes out, and how what comes back is read.
 type Call struct {
-	Request func(addr string) []byte
+	Request func(addr string, left seam.Micros) []byte  // as it is when it leaves, with what is left of the time allowed
 	Answer  func(head *http1.Head, body []byte) Outcome // what an answer means that is not streamed
 	Stream  Stream                                      // nil: none is expected
 	Most    int                                         // bytes of an answer that is not streamed
@@ -161,6 +161,8 @@
 	answer func(head *http1.Head, body []byte) Outcome
 	stream Stream
 	most   int // bytes of an answer that is not streamed
+	asks   func(addr string, left seam.Micros) []byte
+	due    seam.Micros // when the time allowed is over
 	allow  seam.Timer
 	ended  bool
 
@@ -209,7 +211,7 @@
 		o := judge(answer)
 		o.Memory = 0 // as its head reports
 		return o
-	}, Request: func(addr string) []byte {
+	}, Request: func(addr string, _ seam.Micros) []byte {
 		return http1.AppendRequest(nil, "POST", path, addr, body, "Content-Type", "application/json", "x-request-id", name,
 			"x-client-request-id", clientID, "x-dispatcher", e.name, "x-zone", e.zone)
 	}}, allow, hear)
@@ -222,13 +224,13 @@
 
 func (e *Engine) call(h *host, c Call, allow seam.Micros, hear Hearer) *Leg {
 	l := &Leg{engine: e, host: h, hear: hear, memory: choice.NoReport, answer: c.Answer, stream: c.Stream, most: c.Most,
-		letsGo: c.Spare, events: sse.Parser{Most: eventMost}}
+		letsGo: c.Spare, events: sse.Parser{Most: eventMost}, asks: c.Request, due: e.loop.Now() + allow}
 	l.allow = e.loop.After(allow, l.late)
 	if l.host == nil || l.host.addr == "" {
 		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host has no address"}, false) })
 		return l
 	}
-	e.carry(l, c.Request(l.host.addr))
+	e.carry(l)
 	return l
 }
 
@@ -255,7 +257,7 @@
 		}
 		return readDone(body)
 	}
-	return e.Call(id, Call{Answer: answer, Stream: stream, Most: answerMost, Request: func(addr string) []byte {
+	return e.Call(id, Call{Answer: answer, Stream: stream, Most: answerMost, Request: func(addr string, _ seam.Micros) []byte {
 		if ask.Salt != "" {
 			members += `,"cache_salt":` + strconv.Quote(ask.Salt)
 		}
@@ -271,13 +273,13 @@
 }
 
 // carry puts a leg onto an idle connection, or a new one.
-func (e *Engine) carry(l *Leg, request []byte) {
+func (e *Engine) carry(l *Leg) {
 	h := l.host
 	for n := len(h.idle); n > 0; n = len(h.idle) {
 		t := h.idle[n-1]
 		t.retire()
 		if t.conn.Quiet() { // else what is written to it would be lost, or be answered by what was meant for another
-			t.take(l, request)
+			t.take(l)
 			return
 		}
 		t.conn.Close()
@@ -294,7 +296,7 @@
 		return
 	}
 	if h.opening >= e.trunks.Opening && !l.letsGo {
-		w := &waiter{leg: l, request: request}
+		w := &waiter{leg: l}
 		w.timer = e.loop.After(e.trunks.Connect, func() {
 			h.waiting = slices.DeleteFunc(h.waiting, func(o *waiter) bool { return o == w })
 			l.end(Outcome{How: choice.Unreachable, Why: "too many connections to the host are opening"}, false)
@@ -306,7 +308,7 @@
 	e.open++
 	h.opening++
 	t := &trunk{engine: e, host: h, addr: h.addr, parser: http1.Parser{Response: true, Bounds: http1.Usual}}
-	t.leg, t.request = l, request
+	t.leg = l
 	l.trunk = t
 	t.conn = dial(h.addr, e.trunks.Connect, t)
 }
@@ -334,7 +336,7 @@
 		h.waiting = h.waiting[1:]
 		w.timer.Stop()
 		if !w.leg.ended { // not taken back meanwhile
-			e.carry(w.leg, w.request)
+			e.carry(w.leg)
 		}
 	}
 }
@@ -415,8 +417,7 @@
 	conn      seam.Conn
 	parser    http1.Parser
 	leg       *Leg
-	request   []byte // not handed to the network yet
-	sent      bool
+	sent      bool // the leg was handed to the network
 	up        bool
 	down      bool
 	last      bool // the host closes after this answer
@@ -427,10 +428,16 @@
 	idled     seam.Micros // for how long it was idle before this leg
 }
 
-func (t *trunk) take(l *Leg, request []byte) {
-	t.leg, l.trunk, t.sent = l, t, true
+func (t *trunk) take(l *Leg) {
+	t.leg, l.trunk = l, t
 	t.idled = t.engine.loop.Now() - t.idleAt
-	t.conn.Write(request)
+	t.write()
+}
+
+// write hands the leg to the network. What it says of its time is as it is now, not as it was before a connection was there.
+func (t *trunk) write() {
+	t.sent = true
+	t.conn.Write(t.leg.asks(t.addr, max(t.leg.due-t.engine.loop.Now(), 0)))
 }
 
 func (t *trunk) Opened() {
@@ -438,9 +445,7 @@
 	t.host.opening--
 	defer t.engine.next(t.host)
 	if t.leg != nil {
-		t.sent = true
-		t.conn.Write(t.request)
-		t.request = nil
+		t.write()
 		return
 	}
 	t.conn.Close()
@@ -449,6 +454,7 @@
 func (t *trunk) Drained() {}
 
 func (t *trunk) Data(b []byte) {
+	t.host.heard = t.engine.loop.Now()
 	if t.leg == nil {
 		t.retire() // a host that speaks unasked can't be trusted with the next answer
 		t.conn.Abort()
@@ -494,7 +500,7 @@
 			l.room++
 			e.loop.After(roomPause, func() { // the descriptor is free by then
 				if !l.ended {
-					e.carry(l, t.request)
+					e.carry(l)
 				}
 			})
 			return
@@ -692,7 +698,7 @@
 		}
 		return Outcome{How: choice.Errored}
 	}
-	e.call(h, Call{Spare: true, Most: answerMost, Answer: answer, Request: func(addr string) []byte {
+	e.call(h, Call{Spare: true, Most: answerMost, Answer: answer, Request: func(addr string, _ seam.Micros) []byte {
 		return http1.AppendRequest(nil, "POST", "/v1/kv/release", addr, []byte(`{"request_ids":["`+strings.Join(names, `","`)+`"]}`),
 			"Content-Type", "application/json", "x-dispatcher", e.name, "x-zone", e.zone)
 	}}, letGoWithin, Hearer{Ended: func(o Outcome) { done(o.How == choice.ReadDone) }})
@@ -730,6 +736,14 @@
 	return 0
 }
 
+// Heard is when a host last said anything.
+func (e *Engine) Heard(id choice.HostID) seam.Micros {
+	if h := e.hosts[id]; h != nil {
+		return h.heard
+	}
+	return 0
+}
+
 // Connections is how many there are to all hosts.
 func (e *Engine) Connections() int { return e.open }
 
--- a/internal/platform/door/door.go
+++ b/internal/platform/door/door.go
@@ -185,7 +185,7 @@
 	}
 	c.check(c.parser.Feed(b, c))
 	if !c.over && c.parser.Waiting() > 0 {
-		c.conn.Pause(true) // what is sent ahead waits in the socket
+		c.conn.Hold(true) // what is sent ahead waits in the socket
 	}
 }
 
@@ -280,7 +280,7 @@
 		c.finish()
 		return
 	}
-	c.conn.Pause(false)
+	c.conn.Hold(false)
 	if c.parser.Waiting() > 0 {
 		c.begins()
 	}
--- /dev/null
+++ b/internal/platform/fleet_test.go
@@ -0,0 +1,229 @@
+package platform
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"plumspindle/internal/seam"
+)
+
+// TestSilentWatch: a watch that falls silent is opened anew in time for all that it missed to be known 6 s after it fell silent, at
+// whatever moment between two empty lines; and where the first try is lost too.
+func TestSilentWatch(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		for at := seam.Micros(0); at < 2*seam.Second; at += 190 * seam.Millisecond {
+			r := newRig(t, 256, fleet...)
+			r.w.Run(at)
+			r.agent.watches[0].mute = true
+			if lost {
+				r.agent.away = true
+				r.until(6*seam.Second, "another try", func() bool { return len(r.agent.watches) == 2 })
+				r.agent.away = false
+			}
+			began := r.w.Now()
+			r.w.Run(100 * seam.Millisecond)
+			if !lost { // what it missed; a try that was lost has taken its own part of the time
+				r.until(5900*seam.Millisecond, "another watch", func() bool { return len(r.agent.watches) == 2 })
+			} else {
+				r.until(2*seam.Second, "a third watch", func() bool { return len(r.agent.watches) == 3 })
+			}
+			r.far.Do(func() {
+				r.agent.watches[len(r.agent.watches)-1].conn.Write(r.agent.list(r.hosts[0].entry("SERVING"), r.hosts[2].entry("SERVING")))
+			})
+			r.w.Run(10 * seam.Millisecond)
+			if len(r.x.ready) != 2 {
+				t.Errorf("silent from %d ms: %d hosts are ready %d ms later", at/seam.Millisecond, len(r.x.ready), (r.w.Now()-began)/seam.Millisecond)
+			}
+			if r.w.Run(10 * seam.Second); !r.agent.watches[0].closed || r.far.Open() > 1 {
+				t.Errorf("%d watches are open", r.far.Open())
+			}
+		}
+	}
+}
+
+// TestDiscoveryReturns: what the agent gets at its return counts as told at once, so it has to find a watch, whichever it still serves:
+// the one from before, or the last that was opened while it was away.
+func TestDiscoveryReturns(t *testing.T) {
+	for _, old := range []bool{false, true} {
+		for _, away := range []seam.Micros{3700, 5100, 8000, 12300} {
+			r := newRig(t, 256, fleet...)
+			r.agent.away, r.agent.watches[0].mute = true, true
+			r.w.Run(away * seam.Millisecond)
+			if n := r.far.Open(); n > 3 {
+				t.Errorf("%d watches are open", n)
+			}
+			l := r.agent.watches[0]
+			for _, o := range r.agent.watches {
+				if !old && !o.closed {
+					l = o
+				}
+			}
+			if l.closed {
+				t.Fatal("the watch was closed")
+			}
+			r.agent.away = false
+			r.far.Do(func() {
+				if l != r.agent.watches[0] {
+					r.agent.greet(l)
+				}
+				l.conn.Write(r.agent.list(r.hosts[0].entry("SERVING"), r.hosts[2].entry("SERVING")))
+			})
+			r.w.Run(20 * seam.Millisecond)
+			if len(r.x.ready) != 2 {
+				t.Errorf("away for %d ms: %d hosts are ready", away, len(r.x.ready))
+			}
+		}
+	}
+}
+
+// TestWatchReset: a watch that is reset is opened again within the drains' grace.
+func TestWatchReset(t *testing.T) {
+	r := newRig(t, 256, fleet...)
+	r.w.Run(seam.Second)
+	r.far.Do(func() { r.agent.watches[0].conn.Abort() })
+	r.until(100*seam.Millisecond, "another watch", func() bool { return len(r.agent.watches) == 2 })
+}
+
+// TestIndentedList: a list may come over several lines, cut anywhere; one that does not end costs the watch.
+func TestIndentedList(t *testing.T) {
+	for _, most := range []int{0, 1, 7} {
+		r := newRig(t, 256, fleet...)
+		r.w.Segment = most
+		indented := func(entries ...string) string {
+			return "\r\n{\n  \"version\": 9,\n  \"full\": true,\n  \"note\": \"} \\\" ]\",\n  \"servers\": [\n    " + strings.Join(entries, ",\n    ") + "\n  ]\n}\n\n"
+		}
+		r.agent.text(indented(r.hosts[0].entry("SERVING"), r.hosts[2].entry("SERVING")))
+		r.w.Run(seam.Second)
+		if len(r.x.ready) != 2 {
+			t.Errorf("pieces of %d: %d hosts are ready", most, len(r.x.ready))
+		}
+		r.agent.text("{\n \"version\": 10,\n")
+		if r.until(7*seam.Second, "another watch", func() bool { return len(r.agent.watches) == 2 }); !strings.HasSuffix(r.agent.targets[1], "index=9") {
+			t.Errorf("asked %v", r.agent.targets)
+		}
+	}
+}
+
+// TestReadyOnceToldWhatThereIs: a new process does not begin with what it knew before where the agent can tell it better, and does where
+// discovery is away.
+func TestReadyOnceToldWhatThereIs(t *testing.T) {
+	r := newRig(t, 256, fleet...)
+	r.agent.away, r.agent.watches = true, nil
+	r.loop.Do(func() { r.x.watch.Close(); r.x = Start(r.loop, r.x.post) })
+	if r.w.Run(500 * seam.Millisecond); r.x.Ready() {
+		t.Error("ready before the agent has had a chance to speak")
+	}
+	if r.w.Run(600 * seam.Millisecond); !r.x.Ready() {
+		t.Error("not ready though discovery is away")
+	}
+	r.agent.away, r.agent.watches = false, nil
+	r.loop.Do(func() { r.x.watch.Close(); r.x = Start(r.loop, r.x.post) })
+	if r.w.Run(20 * seam.Millisecond); !r.x.Ready() {
+		t.Error("not ready though the agent has spoken")
+	}
+}
+
+// TestAStateThatNobodyFetches: while writers can't be reached, a state that waits at its reader is let go of in time, however many
+// writers there are to try; what comes after is read anew.
+func TestAStateThatNobodyFetches(t *testing.T) {
+	for _, product := range []string{"explain", "post"} {
+		r := newRig(t, 256, "prefill", "prefill", "decode", "decode", "decode", "decode", "decode")
+		for _, h := range r.writers() {
+			r.w.Block(r.loop, h.loop, 500*seam.Millisecond)
+		}
+		c := r.ask(product)
+		r.until(seam.Second, "the read", func() bool { return r.legs() == 1 })
+		r.until(500*seam.Millisecond, "a release", func() bool { return r.releases() == 1 })
+		if got := r.final(c); got != 200 {
+			t.Errorf("%s: answered %d", product, got)
+		}
+		r.quiet()
+	}
+}
+
+// TestReleaseWhereMostAreSilent: connections to hosts that have fallen silent wait like any others; a release goes to one that spoke.
+func TestReleaseWhereMostAreSilent(t *testing.T) {
+	r := newRig(t, 256, "prefill", "prefill", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode")
+	for range 40 { // a connection to each
+		r.ask("explain")
+	}
+	r.w.Run(seam.Second)
+	all(r.writers(), func(*line) {})
+	c := r.ask("post")
+	writes := func() (n int) {
+		for _, h := range r.writers() {
+			n += h.count("POST")
+		}
+		return n
+	}
+	before := writes()
+	r.until(seam.Second, "the write", func() bool { return writes() > before })
+	for _, h := range r.hosts[1:] {
+		r.w.Block(r.loop, h.loop, 5*seam.Second)
+		r.w.Block(h.loop, r.loop, 5*seam.Second)
+	}
+	r.w.Run(300 * seam.Millisecond)
+	r.ask("explain") // one host speaks
+	r.w.Run(300 * seam.Millisecond)
+	r.far.Do(c.conn.Abort)
+	r.until(200*seam.Millisecond, "a release", func() bool { return r.hosts[0].count("DELETE") > 0 })
+}
+
+// TestTimeTold: a host is told what the client has left when the leg leaves, not when its connection was asked for.
+func TestTimeTold(t *testing.T) {
+	r := newRig(t, 256, "prefill", "decode")
+	r.w.Latency = 80 * seam.Millisecond
+	r.hosts[0].serve = func(l *line) {
+		told, err := strconv.ParseInt(strings.TrimSuffix(l.head.Get("Req-Deadline"), "u"), 10, 64)
+		if left := 900*seam.Millisecond - 2*r.w.Latency; err != nil || seam.Micros(told) > left { // its connection took two ways
+			t.Errorf("told %d µs, %d are left", told, left)
+		}
+		read(l)
+	}
+	r.final(r.ask("explain", "Req-Deadline", "900m"))
+	if r.hosts[0].count("POST") == 0 {
+		t.Error("nothing was read")
+	}
+}
+
+// TestClientsThatGo: no leg begins over 0.1 s after a client has closed, wherever its generation is: with pipelined requests behind it,
+// waiting for a connection, or where legs may not be cancelled.
+func TestClientsThatGo(t *testing.T) {
+	for _, may := range []string{"true", "false"} {
+		at := strings.Replace(settings, `"may_cancel": true`, `"may_cancel": `+may, 1)
+		// More is behind it than is taken in.
+		r := newRigAt(t, at, 256, fleet...)
+		all(r.readers(), func(*line) {})
+		first := r.request("explain")
+		c := r.raw(first + strings.Repeat(r.request("explain"), 2000))
+		r.until(seam.Second, "the read", func() bool { return r.legs() == 1 })
+		r.w.Run(100 * seam.Millisecond)
+		r.far.Do(c.conn.Abort)
+		r.w.Run(100 * seam.Millisecond)
+		for _, g := range r.x.gens {
+			if !g.answered {
+				t.Error("its going was not seen")
+			}
+		}
+		if r.w.Run(10 * seam.Second); r.legs() != 1 {
+			t.Errorf("%d legs", r.legs())
+		}
+		// The leg waits for its connection.
+		r = newRigAt(t, at, 256, fleet...)
+		for _, h := range r.readers() {
+			r.w.Delay = func() seam.Micros { return 0 }
+			h.ln.Close()
+		}
+		c = r.ask("explain")
+		r.w.Latency = 60 * seam.Millisecond
+		for _, h := range r.readers() {
+			h.loop.Do(func() { h.up(h.addr) })
+		}
+		r.w.Run(30 * seam.Millisecond)
+		r.far.Do(c.conn.Abort)
+		if r.w.Run(5 * seam.Second); r.legs() > 0 {
+			t.Errorf("may cancel %s: %d legs after its client had gone", may, r.legs())
+		}
+	}
+}
--- a/internal/platform/legs/legs.go
+++ b/internal/platform/legs/legs.go
@@ -50,18 +50,16 @@
 
 // Read sends a read, Write what is answered with a stream. Neither calls back before it has returned.
 func (l *Legs) Read(id choice.HostID, r Request, allow seam.Micros, hear engine.Hearer) *engine.Leg {
-	return l.Call(id, engine.Call{Request: r.to(allow), Answer: Read, Most: answerMost}, allow, hear)
+	return l.Call(id, engine.Call{Request: r.to, Answer: Read, Most: answerMost}, allow, hear)
 }
 
 func (l *Legs) Write(id choice.HostID, r Request, allow seam.Micros, hear engine.Hearer) *engine.Leg {
-	return l.Call(id, engine.Call{Request: r.to(allow), Answer: Unstreamed, Stream: &events{}, Most: answerMost}, allow, hear)
+	return l.Call(id, engine.Call{Request: r.to, Answer: Unstreamed, Stream: &events{}, Most: answerMost}, allow, hear)
 }
 
-func (r Request) to(allow seam.Micros) func(addr string) []byte {
-	return func(addr string) []byte {
-		return http1.AppendRequest(nil, "POST", r.Target, addr, r.Body, "Content-Type", r.Type, "Req-Id", r.ID,
-			"Req-Deadline", strconv.FormatInt(int64(max(allow, 0)), 10)+"u")
-	}
+func (r Request) to(addr string, left seam.Micros) []byte {
+	return http1.AppendRequest(nil, "POST", r.Target, addr, r.Body, "Content-Type", r.Type, "Req-Id", r.ID,
+		"Req-Deadline", strconv.FormatInt(int64(left), 10)+"u")
 }
 
 // declined are the answers by which a host states that it has not run the leg; only these, with the field that says so, prove it.
@@ -134,12 +132,13 @@
 
 // --- Letting go ---
 
-// Release has all that is held for a request let go of. Any host takes it, so one that can't be reached is no reason to wait: the
-// one that likely holds it is asked first, the others in turn. done is called once, with whether a host has confirmed it.
+// Release has all that is held for a request let go of. Any host takes it, so one that can't be reached is no reason to wait: one
+// is asked that spoke lately and has a connection that waits, then the others in turn. done is called once, with whether a host has
+// confirmed it.
 func (l *Legs) Release(id string, at choice.HostID, done func(bool)) {
 	l.Releases++
 	r := &release{legs: l, id: id, done: done, began: l.loop.Now(), tried: map[choice.HostID]bool{}}
-	if l.Idle(at) == 0 {
+	if now := l.loop.Now(); l.Idle(at) == 0 || now-l.Heard(at) > l.within {
 		at = l.other(r, at)
 	}
 	r.try(at)
@@ -153,12 +152,11 @@
 	done  func(bool)
 }
 
-// other is a host not tried yet, one with a connection that waits before all others.
+// other is a host not tried yet, one with a connection that waits before all others, and of those the one that spoke last: where many
+// have fallen silent together their connections wait all the same, and a state has no time for one after the other.
 func (l *Legs) other(r *release, usual choice.HostID) choice.HostID {
-	all := l.hosts()
-	best, rank := usual, -1
-	for i := range all {
-		h := all[(int(l.Tries)+i)%len(all)] // they begin at another each time
+	best, rank, spoke := usual, -1, seam.Micros(0)
+	for _, h := range l.hosts() {
 		at := 0
 		if !r.tried[h] {
 			at += 2
@@ -166,8 +164,8 @@
 		if l.Idle(h) > 0 {
 			at++
 		}
-		if at > rank {
-			best, rank = h, at
+		if heard := l.Heard(h); at > rank || at == rank && heard > spoke {
+			best, rank, spoke = h, at, heard
 		}
 	}
 	return best
@@ -177,7 +175,7 @@
 	l := r.legs
 	l.Tries++
 	r.tried[at] = true
-	call := engine.Call{Spare: true, Most: answerMost, Request: func(addr string) []byte {
+	call := engine.Call{Spare: true, Most: answerMost, Request: func(addr string, _ seam.Micros) []byte {
 		return http1.AppendRequest(nil, "DELETE", "/v1/holds/"+r.id, addr, nil)
 	}, Answer: func(h *http1.Head, _ []byte) engine.Outcome {
 		if h.Status == 204 || h.Status == 200 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -39,6 +39,11 @@
 	// An id is not taken again for so long after its answer: a copy of an open request may come when that has just ended.
 	idKept      = 10 * seam.Second
 	unknownKind = 255
+	// Part of the time in which a state has to be taken or let go of, after which a leg that has no connection yet does not get it any
+	// more: to the rule the state lies there, and letting go needs a part too.
+	leasePart = 0.6
+	// The agent on this machine tells what it has at once; without a word of it for so long, what was known before will do.
+	agentWithin = seam.Second
 	// What runs on after SIGTERM may be on new connections for so long.
 	leaveAfter = 500 * seam.Millisecond
 )
@@ -64,6 +69,7 @@
 	lately  [2]map[string]bool
 	hosts   map[choice.HostID]watch.Entry
 	ready   []choice.HostID
+	began   seam.Micros
 	leaving func()
 	Counts
 }
@@ -82,15 +88,16 @@
 	// A host may hold something for it, likely this one.
 	lies      bool
 	lieAt     choice.HostID
-	releasing bool   // that is being let go of
-	next      func() // the leg that waits for it, as the release would take what that leg leaves
+	lease     seam.Wait // for what lies
+	releasing bool      // that is being let go of
+	next      func()    // the leg that waits for it, as the release would take what that leg leaves
 }
 
 // Start makes a dispatcher on a loop; Door's Accept takes its clients.
 func Start(loop seam.Loop, post Post) *Dispatcher {
 	t := post.Terms
 	x := &Dispatcher{loop: loop, post: post, terms: t, gens: map[choice.GenID]*gen{}, ids: map[string]bool{},
-		lately: [2]map[string]bool{{}, {}}, hosts: map[choice.HostID]watch.Entry{}}
+		lately: [2]map[string]bool{{}, {}}, hosts: map[choice.HostID]watch.Entry{}, began: loop.Now()}
 	place := t.Place
 	place.Idle /= 2 // connections are closed well before hosts do: what is written to one that is closed counts as lost
 	e := engine.New(loop, post.Name, "", trunks(t, post.Sockets, place.Idle))
@@ -142,13 +149,22 @@
 }
 
 func (x *Dispatcher) left() {
-	if x.leaving != nil && len(x.gens) == 0 && x.door.Open == 0 {
-		done := x.leaving
-		x.leaving = nil
-		x.watch.Close()
-		x.legs.Close()
-		x.loop.After(leaveAfter/10, done) // what was written last is on its way
+	if x.leaving == nil || len(x.gens) > 0 || x.door.Open > 0 {
+		return
+	}
+	done, until := x.leaving, x.loop.Now()+leaveAfter
+	x.leaving = nil
+	x.watch.Close()
+	x.legs.Close()
+	var last func() // what was written last is on its way: clients close once they have it
+	last = func() {
+		if x.door.Connections() == 0 || x.loop.Now() >= until {
+			done()
+			return
+		}
+		x.loop.After(leaveAfter/20, last)
 	}
+	x.loop.After(leaveAfter/20, last)
 }
 
 // --- The list ---
@@ -214,8 +230,12 @@
 
 // --- Clients ---
 
-// Ready tells whether there is a host to read and one to answer.
+// Ready tells whether there is a host to read and one to answer. What discovery has counts as told from the first moment, and what was
+// known before may name hosts that are gone, so a new process first waits a moment for the agent.
 func (x *Dispatcher) Ready() bool {
+	if !x.watch.Up() && x.loop.Now()-x.began < agentWithin {
+		return false
+	}
 	var reads, answers bool
 	for _, id := range x.ready {
 		switch x.role(id) {
@@ -289,6 +309,9 @@
 		return
 	}
 	x.module.Left(x.loop.Now(), g.id)
+	if !x.terms.Place.MayCancel && (g.next != nil || g.leg != nil && g.leg.Unsent()) { // it has not begun and must not
+		x.Cancel(g.id, g.legs-1)
+	}
 	x.settle(g)
 }
 
@@ -321,8 +344,31 @@
 	return slices.SortedFunc(maps.Values(x.gens), func(a, b *gen) int { return cmp.Compare(a.id, b.id) })
 }
 
+// hold: a host may hold something for the generation from now on, for as long as a state may wait.
+func (x *Dispatcher) hold(g *gen) {
+	g.lies = true
+	g.lease.For(x.loop, seam.Micros(leasePart*float64(x.terms.LetGo)), func() { x.expired(g) })
+}
+
+// expired: what is held has waited for too long, as the time runs on while connections fail to come up. A leg that has left by now takes
+// it; one that has not is taken back, and to a write its state is gone.
+func (x *Dispatcher) expired(g *gen) {
+	l, no := g.leg, g.legs-1
+	if !g.lies || g.releasing || l == nil || !l.Unsent() {
+		return
+	}
+	o := engine.Outcome{How: choice.Full, Note: 1, Memory: choice.NoReport, Why: "no connection while its state may wait"}
+	if g.reads {
+		o.How, o.Note = choice.NeverSent, 0
+	}
+	l.Cancel()
+	x.release(g)
+	x.ended(g, no, o)
+}
+
 func (x *Dispatcher) release(g *gen) {
 	g.lies, g.releasing = false, true
+	g.lease.Over()
 	x.legs.Release(g.ask.ID, g.lieAt, func(bool) {
 		g.releasing = false
 		if next := g.next; next != nil {
@@ -379,6 +425,7 @@
 	}
 	if !g.started {
 		g.started, g.lies = true, false
+		g.lease.Over()
 		g.leg.Started()
 		x.module.Started(x.loop.Now(), g.id, no)
 		if g.answered {
@@ -402,11 +449,18 @@
 			Bool("started", g.started).Int("ending", int(o.How)).Str("why", o.Why).Msg("leg ended")
 	}
 	switch o.How {
-	case choice.Full, choice.Unreachable, choice.NeverSent:
+	case choice.Unreachable, choice.NeverSent: // and what lies has waited on
+	case choice.Full:
+		if g.lies { // its leg was out until now
+			x.hold(g)
+		}
 	default:
 		// Also a read that broke or was given up may have ended well; a write that did may have left what it was to fetch.
 		if g.reads {
-			g.lies, g.lieAt = true, g.host
+			g.lieAt = g.host
+		}
+		if g.reads || g.lies {
+			x.hold(g)
 		}
 	}
 	if g.started && !g.answered {
--- a/internal/platform/watch/watch.go
+++ b/internal/platform/watch/watch.go
@@ -14,11 +14,14 @@
 	"plumspindle/internal/subscribe"
 )
 
+// What a watch that fell silent misses counts as told 6 s later, and so does what could have been had after a call that failed. The
+// agent shows every two seconds that it is there: half as much again, and two tries that are lost, leave a second of the six.
 const (
-	// The agent shows every two seconds that it is there.
-	silence = 4 * seam.Second
-	// It stands on this very machine and answers at no cost.
-	again = seam.Second
+	silence = 3 * seam.Second
+	// The agent stands on this very machine and answers at once and at no cost, or is away.
+	answer = 500 * seam.Millisecond
+	least  = 40 * seam.Millisecond
+	again  = 400 * seam.Millisecond
 	// A host's number is not given to another for so long after it is gone: longer than the module remembers hosts.
 	numberKept = 1800 * seam.Second
 )
@@ -55,7 +58,8 @@
 func New(loop seam.Loop, seed int64, addr string, news func([]Entry, bool), log func(string)) *Watch {
 	w := &Watch{loop: loop, numbers: map[choice.HostID]*number{}, news: news, log: log}
 	c := subscribe.NewClient(loop, seed, addr)
-	c.What, c.Lines, c.Silence, c.Again, c.Log = "discovery", true, silence, again, log
+	c.What, c.Lines, c.Standby, c.Log = "discovery", true, true, log
+	c.Silence, c.Answer, c.Least, c.Again = silence, answer, least, again
 	c.Target = func() string { return "/discovery/hosts?stream=1&index=" + strconv.FormatUint(w.version, 10) }
 	c.Take = w.Take
 	c.Forget = func() { w.version = 0 }
@@ -68,6 +72,9 @@
 func (w *Watch) Move(addr string) { w.client.Move(addr) }
 func (w *Watch) Close()           { w.client.Close() }
 
+// Up tells whether discovery speaks.
+func (w *Watch) Up() bool { return w.client.Up() }
+
 var conditions = map[string]choice.Condition{"SERVING": choice.Ready, "DRAINING": choice.Draining, "DELETED": choice.Gone}
 
 // Take takes one list, or the changes since the one before.
--- a/internal/seam/seam.go
+++ b/internal/seam/seam.go
@@ -66,7 +66,10 @@
 	// Pause stops or resumes the handing over of data; while paused, little more than the socket's own
 	// buffer is taken in, so that the other side is slowed.
 	Pause(on bool)
-	// Close closes once all is sent; Abort at once, with a reset.
+	// Hold is Pause for what must hear at once that the other side is gone: what came before its end and was not handed over is dropped.
+	Hold(on bool)
+	// Close closes once all is sent; Abort at once, with a reset. One that was accepted is closed by halves: what the other side sends
+	// until it has seen that is dropped, as a close over unread bytes would reset the connection, and with it what is still on its way.
 	Close()
 	Abort()
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -26,6 +26,7 @@
 	stopWithin  = 150 * time.Millisecond // for the poller to end its connections
 	acceptPause = 20 * time.Millisecond  // after an accept that failed for want of descriptors
 	busyFor     = 3 * time.Millisecond   // for what one that is turned away has sent
+	lingerFor   = seam.Second            // for the other side to see that a connection is shut
 )
 
 var errNoConnection = errors.New("no connection")
@@ -245,11 +246,28 @@
 	gone    bool
 
 	// The loop's own.
-	paused  bool
-	closing bool
-	ended   bool
-	cause   error
-	spare   []byte
+	accepted bool
+	paused   bool
+	holds    bool // the other side's end is heard though it is paused
+	closing  bool
+	lingers  seam.Timer
+	ended    bool
+	cause    error
+	spare    []byte
+}
+
+// socket runs f with the descriptor unless the connection is closed, which waits meanwhile: once it is, the number may be another's.
+func (c *conn) socket(f func(fd int)) bool {
+	if c.nb == nil {
+		return false
+	}
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if gone, _ := c.nb.IsClosed(); gone {
+		return false
+	}
+	f(c.nb.Hash())
+	return true
 }
 
 // takeIn reads what has come, up to the bound; it is called by the poller, and by the loop once there is room.
@@ -307,7 +325,7 @@
 func (c *conn) handOver() {
 	c.mu.Lock()
 	c.posted = false
-	if c.paused || c.ended {
+	if c.paused && !c.closing || c.ended {
 		c.mu.Unlock()
 		return
 	}
@@ -330,7 +348,7 @@
 	}
 	rest := len(c.in)
 	c.mu.Unlock()
-	if n > 0 {
+	if n > 0 && !c.closing {
 		c.h.Data(turn)
 	}
 	if cap(c.spare) > 4<<10 && rest == 0 {
@@ -358,7 +376,7 @@
 	c.mu.Lock()
 	rest := len(c.in)
 	c.mu.Unlock()
-	if rest == 0 || c.closing {
+	if rest == 0 || c.closing || c.paused && c.holds {
 		c.end() // data that came before the close is handed over first, unless nobody reads it any more
 	}
 }
@@ -366,6 +384,9 @@
 func (c *conn) end() {
 	if !c.ended {
 		c.ended = true
+		if c.lingers != nil {
+			c.lingers.Stop()
+		}
 		c.h.Closed(c.cause)
 	}
 }
@@ -375,7 +396,7 @@
 		return
 	}
 	if c.closing {
-		_ = c.nb.Close()
+		c.shut()
 		return
 	}
 	c.h.Drained()
@@ -405,10 +426,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if gone, _ := c.nb.IsClosed(); gone || c.gone || len(c.in) > 0 {
+	quiet := false
+	if c.gone || len(c.in) > 0 || !c.socket(func(fd int) { quiet = nothingIn(fd) }) {
 		return false
 	}
-	return nothingIn(c.nb.Hash())
+	return quiet
 }
 
 // nothingIn tells that a descriptor's connection has neither ended nor anything to be read.
@@ -420,6 +442,14 @@
 
 func (c *conn) Unsent() int { return int(c.unsent.Load()) }
 
+func (c *conn) Hold(on bool) {
+	c.holds = on
+	c.Pause(on)
+	if on && c.cause != nil {
+		c.l.Later(c.end)
+	}
+}
+
 func (c *conn) Pause(on bool) {
 	if c.paused == on {
 		return
@@ -446,15 +476,38 @@
 		return
 	}
 	if c.nb != nil && c.unsent.Load() == 0 {
-		_ = c.nb.Close()
+		c.shut()
 	} else {
 		c.wantsDrained.Store(true)
 		if c.nb != nil && c.unsent.Load() == 0 {
-			_ = c.nb.Close()
+			c.shut()
 		}
 	}
 }
 
+// shut closes what is sent: by halves where the other side may still be sending.
+func (c *conn) shut() {
+	if !c.accepted {
+		_ = c.nb.Close()
+		return
+	}
+	if c.lingers != nil {
+		return
+	}
+	var err error
+	if !c.socket(func(fd int) { err = unix.Shutdown(fd, unix.SHUT_WR) }) || err != nil {
+		_ = c.nb.Close()
+		return
+	}
+	c.lingers = c.l.After(lingerFor, func() { _ = c.nb.Close() })
+	c.mu.Lock()
+	if !c.posted { // what has come is dropped, and room is made for what still comes
+		c.posted = true
+		c.l.post(c.handOver)
+	}
+	c.mu.Unlock()
+}
+
 func (c *conn) Abort() {
 	c.closing = true
 	if c.cause != nil {
@@ -462,7 +515,7 @@
 		return
 	}
 	if c.nb != nil && !c.ended {
-		_ = c.nb.SetLinger(1, 0)
+		c.socket(func(fd int) { _ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) })
 		_ = c.nb.Close()
 	}
 }
@@ -607,7 +660,7 @@
 			}
 		}
 		own.l.post(func() {
-			c := &conn{l: own.l}
+			c := &conn{l: own.l, accepted: true}
 			c.h = accept(c)
 			nb, err := ownOnly(raw)
 			if err != nil {
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -2,10 +2,10 @@
 package subscribe
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math/rand"
+	"slices"
 
 	"plumspindle/internal/http1"
 	"plumspindle/internal/seam"
@@ -19,6 +19,7 @@
 	againMost     = 5 * seam.Second
 	listMost      = 8 << 20 // bytes of one list
 	lineKept      = 4 << 10 // of the room that one took
+	olderMost     = 2       // silent subscriptions that stay open
 )
 
 // Gap is an event that does not follow on what is known; only a subscription from the beginning helps.
@@ -40,32 +41,40 @@
 	Fields []string // of the request's head: name, value, ...
 	What   string   // for logs
 	Log    func(line string)
-	// Lines: events are lines of their own, and an empty one only shows that the source is there; else they are streamed events.
+	// Lines: events are JSON objects, and empty lines only show that the source is there; else they are streamed events.
 	Lines bool
-	// Silence is how long the source may say nothing, Again how long at most to wait before it is asked again.
-	Silence, Again seam.Micros
+	// Silence is how long the source may say nothing; Least and Again bound the wait before it is asked again.
+	Silence, Least, Again seam.Micros
+	// Answer, where it is above 0, is how long the source has to begin its answer, its connection included.
+	Answer seam.Micros
+	// Standby has a silent subscription stay open until another speaks: a source that was away may go on with it, and what
+	// it tells in the moment of its return would else fall between two tries.
+	Standby bool
 
 	current *subscription
+	older   []*subscription // silent ones that stay open
 	again   seam.Micros
-	waiting seam.Timer
+	waiting seam.Wait
 	closed  bool
 }
 
 // NewClient makes a client that has not subscribed yet.
 func NewClient(loop seam.Loop, seed int64, addr string) *Client {
-	return &Client{loop: loop, rand: rand.New(rand.NewSource(seed)), addr: addr, again: againLeast,
-		Silence: silence, Again: againMost}
+	return &Client{loop: loop, rand: rand.New(rand.NewSource(seed)), addr: addr, Silence: silence, Least: againLeast, Again: againMost}
 }
 
 // subscription is one connection to the source.
 type subscription struct {
-	c      *Client
-	conn   seam.Conn
-	parser http1.Parser
-	line   []byte
-	events sse.Parser
-	ok     bool
-	quiet  seam.Timer
+	c       *Client
+	conn    seam.Conn
+	parser  http1.Parser
+	events  sse.Parser
+	object  object
+	headed  bool // its answer has begun
+	ok      bool
+	leaving bool // its address is not asked any more: it stays until the new one speaks
+	dropped bool // nothing of it counts any more
+	quiet   seam.Wait
 }
 
 // Subscribe asks for the list from the version known on, and goes on asking when the subscription breaks.
@@ -76,58 +85,130 @@
 	s := &subscription{c: c, parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: listMost}}
 	c.current = s
 	s.conn = c.loop.Dial(c.addr, connectWithin, s)
+	if c.Answer > 0 {
+		s.quiet.For(c.loop, c.Answer, s.silent)
+	}
 }
 
 // Close ends it.
 func (c *Client) Close() {
 	c.closed = true
-	if c.waiting != nil {
-		c.waiting.Stop()
-	}
+	c.waiting.Over()
+	c.dropOlder(nil)
 	if c.current != nil {
 		c.current.conn.Close()
 	}
 }
 
-// Move has the source asked at another address from now on, for what followed on what is known.
+// Move has the source asked at another address from now on, for what followed on what is known. The one before may still tell
+// something until the new one does.
 func (c *Client) Move(addr string) {
 	if c.closed || addr == c.addr {
 		return
 	}
-	c.addr, c.again = addr, againLeast
-	if c.waiting != nil {
-		c.waiting.Stop()
-	}
+	c.addr, c.again = addr, c.Least
+	c.waiting.Over()
 	if s := c.current; s != nil {
 		c.current = nil
-		s.conn.Abort()
+		c.keep(s)
+	}
+	for _, s := range c.older {
+		s.leaving = true
 	}
 	c.Subscribe()
 }
 
-// left tells that another has taken its place.
-func (s *subscription) left() bool { return s.c.current != s }
+// keep leaves a subscription open beside the one that is opened next, or drops it.
+func (c *Client) keep(s *subscription) {
+	if !c.Standby {
+		s.drop()
+		return
+	}
+	if c.older = append(c.older, s); len(c.older) > olderMost {
+		c.older[1].drop() // the first was served once, the last is the newest
+		c.older = slices.Delete(c.older, 1, 2)
+	}
+}
+
+func (c *Client) dropOlder(but *subscription) {
+	for _, s := range c.older {
+		if s != but {
+			s.drop()
+		}
+	}
+	c.older = nil
+}
+
+func (s *subscription) drop() {
+	s.dropped = true
+	s.quiet.Over()
+	s.conn.Abort()
+}
+
+// retry asks again after a wait drawn by chance: dispatchers cut off together must not come back together.
+func (c *Client) retry(why string, ok bool) {
+	if c.again = max(c.again, c.Least); !ok {
+		c.again = min(2*c.again, c.Again)
+	}
+	wait := c.again/2 + seam.Micros(c.rand.Int63n(int64(c.again)))
+	c.Log(fmt.Sprintf("%s is away (%s); what is known is used, next try in %d ms", c.What, why, wait/seam.Millisecond))
+	c.waiting.For(c.loop, wait, c.Subscribe)
+}
+
+// silent: it says nothing for too long.
+func (s *subscription) silent() {
+	c := s.c
+	if !c.Standby {
+		s.conn.Abort()
+		return
+	}
+	if s == c.current {
+		c.current = nil
+		c.keep(s)
+		c.retry("it says nothing", s.ok)
+	}
+}
+
+// speaks: the first that says something is the one that counts.
+func (s *subscription) speaks() {
+	c := s.c
+	if s.leaving {
+		return
+	}
+	if c.current != s {
+		if c.current != nil {
+			c.current.drop()
+		}
+		c.current = s
+	}
+	c.waiting.Over()
+	c.dropOlder(s)
+}
 
 func (s *subscription) Opened() {
 	c := s.c
-	if s.left() {
+	if s.dropped {
 		s.conn.Abort()
 		return
 	}
 	fields := append([]string{"Accept", "text/event-stream"}, c.Fields...)
 	s.conn.Write(http1.AppendRequest(nil, "GET", c.Target(), c.addr, nil, fields...))
-	s.quiet = c.loop.After(c.Silence, s.conn.Abort)
+	if c.Answer == 0 {
+		s.quiet.For(c.loop, c.Silence, s.silent)
+	}
 }
 
 func (s *subscription) Drained() {}
 
 func (s *subscription) Data(b []byte) {
 	c := s.c
-	if s.left() {
+	if s.dropped {
 		return
 	}
-	s.quiet.Stop()
-	s.quiet = c.loop.After(c.Silence, s.conn.Abort)
+	if s.headed {
+		s.speaks()
+	}
+	s.quiet.For(c.loop, c.Silence, s.silent)
 	if err := s.parser.Feed(b, s); err != nil {
 		var gap *Gap
 		if errors.As(err, &gap) {
@@ -142,12 +223,20 @@
 	if h.Status != 200 {
 		return fmt.Errorf("it answered with status %d", h.Status)
 	}
+	s.headed = true
+	s.speaks()
 	return nil
 }
 
+// Up tells whether the source speaks.
+func (c *Client) Up() bool { return c.current != nil && c.current.headed }
+
 func (s *subscription) Body(b []byte) error {
 	if s.c.Lines {
-		return s.lines(b)
+		if s.object.since > 0 && s.c.loop.Now()-s.object.since > s.c.Silence {
+			return errors.New("a list that does not end") // empty lines that come meanwhile are part of it
+		}
+		return s.object.feed(s.c.loop.Now(), b, s.take)
 	}
 	return s.events.Feed(b, s.take)
 }
@@ -156,53 +245,77 @@
 	if err := s.c.Take(data); err != nil {
 		return err
 	}
-	s.ok, s.c.again = true, againLeast
+	s.ok, s.c.again = true, s.c.Least
 	return nil
 }
 
-func (s *subscription) lines(b []byte) error {
-	for {
-		at := bytes.IndexByte(b, '\n')
-		if at < 0 {
-			if s.line = append(s.line, b...); len(s.line) > listMost {
-				return sse.ErrTooLong
+// object cuts a stream of JSON objects, one a line or over several lines, as where they come indented.
+type object struct {
+	text    []byte
+	depth   int
+	quoted  bool
+	escaped bool
+	since   seam.Micros // when it began; 0: none has
+}
+
+var errNoObject = errors.New("something that is no object")
+
+func (o *object) feed(now seam.Micros, b []byte, take func([]byte) error) error {
+	for from, i := 0, 0; i < len(b); i++ {
+		ch := b[i]
+		switch {
+		case o.depth == 0 && (ch == ' ' || ch == '\t' || ch == '\r' || ch == '\n'):
+			from = i + 1
+			continue
+		case o.depth == 0 && ch != '{':
+			return errNoObject
+		case o.quoted:
+			o.quoted = o.escaped || ch != '"'
+			o.escaped = !o.escaped && ch == '\\'
+		case ch == '"':
+			o.quoted = true
+		case ch == '{' || ch == '[':
+			if o.depth++; o.depth == 1 {
+				from, o.since = i, now
 			}
-			return nil
+		case ch == '}' || ch == ']':
+			o.depth--
 		}
-		s.line = append(s.line, b[:at]...)
-		b = b[at+1:]
-		if line := bytes.TrimSpace(s.line); len(line) > 0 {
-			if err := s.take(line); err != nil {
+		switch {
+		case o.depth == 0:
+			text := append(o.text, b[from:i+1]...)
+			if o.text, o.since = text[:0], 0; cap(o.text) > lineKept {
+				o.text = nil
+			}
+			from = i + 1
+			if err := take(text); err != nil {
 				return err
 			}
-		}
-		if s.line = s.line[:0]; cap(s.line) > lineKept {
-			s.line = nil
+		case i == len(b)-1:
+			if o.text = append(o.text, b[from:]...); len(o.text) > listMost {
+				return sse.ErrTooLong
+			}
 		}
 	}
+	return nil
 }
 
 func (s *subscription) End() error { return errors.New("it ended the subscription") }
 
 func (s *subscription) Closed(cause error) {
 	c := s.c
-	if s.quiet != nil {
-		s.quiet.Stop()
-	}
-	if s.left() {
+	s.quiet.Over()
+	if s.dropped {
 		return
 	}
-	c.current = nil
-	if c.closed {
+	s.dropped = true
+	if c.current != s {
+		c.older = slices.DeleteFunc(c.older, func(o *subscription) bool { return o == s })
 		return
 	}
-	if !s.ok {
-		c.again = min(2*c.again, c.Again)
+	if c.current = nil; !c.closed {
+		c.retry(cause.Error(), s.ok)
 	}
-	// A wait drawn by chance: dispatchers cut off together must not come back together.
-	wait := c.again/2 + seam.Micros(c.rand.Int63n(int64(c.again)))
-	c.Log(fmt.Sprintf("%s is away (%v); what is known is used, next try in %d ms", c.What, cause, wait/seam.Millisecond))
-	c.waiting = c.loop.After(wait, c.Subscribe)
 }
 
 // Post sends one message on a connection of its own and tells the status of the answer, 0 for none in time.
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -266,6 +266,7 @@
 	flying  int    // bytes on their way
 	arrives seam.Micros
 	paused  bool
+	holds   bool
 	closing bool
 	ended   bool
 	fin     error // the other side's end, once it has arrived
@@ -450,6 +451,14 @@
 	}
 }
 
+func (c *conn) Hold(on bool) {
+	c.holds = on
+	c.Pause(on)
+	if on && c.fin != nil {
+		c.l.Later(func() { c.end(c.fin) })
+	}
+}
+
 func (c *conn) Pause(on bool) {
 	if c.paused == on {
 		return
@@ -485,7 +494,7 @@
 			far.fin = err
 			if !far.paused {
 				far.hear()
-			} else if far.closing {
+			} else if far.closing || far.holds {
 				far.l.call(func() { far.end(err) })
 			}
 		})
