--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	homeFactor   = 2.0     // times the least wait that a prefix's home may have
 	homeFloor    = 0.05    // seconds; on an idle fleet any work at all would be more than twice none
 	homeLoad     = 4.0     // times a reader's even part of the traffic, for each further home of a prefix
+	arrivalsFew  = 10.0    // generations that count for others of which nothing is known yet
 	arrivalsMost = 1000    // generations after which the prefixes' counts are halved
 	mixedShare   = 1.3     // times the writers' mean load, up to which mixed hosts take generations whole
 	nearFactor   = 1.3     // times the mean fill of the writers of other cells that a near one may have, and
@@ -77,6 +78,7 @@
 	for t := range d.allowed {
 		d.allowed[t] = d.burst(t)
 	}
+	d.homesKeep = 1
 	d.usual = [2]float64{float64(150 * ms), float64(100 * ms)}
 	if d.OnRequest {
 		orders.Subscribe()
@@ -368,7 +370,8 @@
 	if g.ran == nil || p.Effect == Idempotent {
 		return true
 	}
-	if p.Effect == SideEffecting || d.now+d.Tick >= g.ran.sent+p.Window {
+	// A leg counts when it is there, and may wait for its connection before.
+	if p.Effect == SideEffecting || d.now+d.Tick+d.Connect >= g.ran.sent+p.Window {
 		return false
 	}
 	switch {
@@ -651,32 +654,37 @@
 		_, some := slices.BinarySearch(takes, r.cell)
 		return !some
 	})
-	key := uint64(g.prefix)
-	if key == 0 {
-		key = uint64(g.session)
-	}
+	homes := d.homes(g, readers)
 	wait := func(h *host) float64 { return d.wait(h, g) + max(d.handover(h.cell)-secs(g.part(slowStart/2)), 0) }
 	least := d.least(readers, wait)
-	if least == nil || key == 0 {
-		return least
+	for _, home := range homes {
+		if home != nil && wait(home) <= homeFactor*wait(least)+homeFloor {
+			return home
+		}
+	}
+	return least
+}
+
+// homes are where a prefix, or a session without one, is read first. It has a home in each zone and one among
+// all. The own zone's goes first: links between zones are long and charged for. Where it is busy that of all
+// goes before the least-loaded, which may not have kept the text.
+func (d *Dispatcher) homes(g *generation, readers []*host) [2]*host {
+	key := cmp.Or(uint64(g.prefix), uint64(g.session))
+	g.homes = [2]*host{}
+	if key == 0 || len(readers) == 0 {
+		return g.homes
 	}
-	// A prefix has a home in each zone and one among all. The own zone's goes first: links between zones are
-	// long and charged for. Where it is busy that of all goes before the least-loaded, which may not have kept
-	// the text.
 	from := len(d.lists)
 	for _, h := range readers {
 		if h.zone == d.Zone {
 			d.lists = append(d.lists, h)
 		}
 	}
-	for _, homes := range [2][]*host{d.lists[from:], readers} {
-		if len(homes) > 0 {
-			if home := d.home(g, key, homes); wait(home) <= homeFactor*wait(least)+homeFloor {
-				return home
-			}
-		}
+	if near := d.lists[from:]; len(near) > 0 {
+		g.homes[0] = d.home(g, key, near)
 	}
-	return least
+	g.homes[1] = d.home(g, key, readers)
+	return g.homes
 }
 
 // cellsThatTake are those with a writer that fits among the cell's own, which are all that a state behind a
@@ -714,7 +722,10 @@
 func (d *Dispatcher) home(g *generation, key uint64, readers []*host) *host {
 	homes := 1
 	if g.prefix != 0 {
-		homes += int(d.often[g.prefix] / d.arrivals * float64(len(readers)) / homeLoad)
+		// Who has seen little must not take the one prefix it saw for all of the traffic: one generation is no
+		// sign of a part, and all dispatchers would read each text at homes of their own.
+		seen := max(d.often[g.prefix]-1, 0)
+		homes += int(seen / (d.arrivals + arrivalsFew) * float64(len(readers)) / homeLoad)
 	}
 	hash := func(a, b *host) int {
 		return cmp.Compare(mix(key^mix(uint64(b.id))), mix(key^mix(uint64(a.id))))
@@ -779,10 +790,15 @@
 	return (h.readTok + firstRate) / (h.readTime + 1)
 }
 
-// toRead is what of a prompt the host has likely not kept.
+// toRead is what of a prompt the host has likely not kept. A home keeps what the others send there, which
+// this dispatcher has not seen: taken to keep nothing, it would look slower than any host that was once read
+// at instead, and each dispatcher would have homes of its own.
 func (d *Dispatcher) toRead(h *host, g *generation) float64 {
-	if h.texts[g.prefix] {
+	switch {
+	case h.texts[g.prefix]:
 		return max(g.prompt-g.shared, 1)
+	case h == g.homes[0] || h == g.homes[1]:
+		return max(g.prompt-g.shared*d.homesKeep, 1)
 	}
 	return g.prompt
 }
@@ -992,7 +1008,10 @@
 		h.readTime *= rateMemory / h.readTok
 		h.readTok = rateMemory
 	}
-	if work < g.prompt && kept < (g.prompt-work)/2 || len(h.texts) > textsMost {
+	if !h.texts[g.prefix] && g.shared > 0 && (h == g.homes[0] || h == g.homes[1]) {
+		blend(&d.homesKeep, min(kept/g.shared, 1), usualMemory)
+	}
+	if h.texts[g.prefix] && kept < (g.prompt-work)/2 || len(h.texts) > textsMost {
 		clear(h.texts)
 	}
 	if g.prefix != 0 {
--- a/choice/face.go
+++ b/choice/face.go
@@ -124,6 +124,7 @@
 	OnRequest      bool // the list of hosts comes only to those that ask
 	Tick           Micros
 	Idle           Micros // an unused connection is closed after it
+	Connect        Micros // a leg that has not left by then, for want of a connection, never does
 	Cold           Micros
 	ColdFrom       float64
 	Fall           Micros
--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -140,3 +140,75 @@
 		}
 	}
 }
+
+// Dispatchers that have seen next to nothing, as each of three hundred for most of a day, agree on where a text is read: who takes the
+// few that it saw for all of the traffic gives each of them homes of its own, and all of them read it anew. That a home keeps what
+// others had read there is what makes it the place to go to, also before one that this dispatcher happened to read at.
+func TestFewGenerationsAgreeOnHomes(t *testing.T) {
+	at := map[PrefixID]map[HostID]int{}
+	n := 0
+	for i, w := range many(t, func(w *world) {
+		for i := range HostID(40) {
+			w.list(&seen{id: 100 + i, kind: 0}, &seen{id: 200 + i, kind: 1})
+		}
+	}) {
+		for j := range 4 {
+			prefix := PrefixID(1 + (i+j/2)%20) // each twice
+			if at[prefix] == nil {
+				at[prefix] = map[HostID]int{}
+			}
+			g := w.arriveIn(GenID(i*10+j+1), 0, prefix, 6000, 5000, 6*sec)
+			at[prefix][g.out().host.id]++
+			n++
+			w.end(g, ReadDone, 5000)
+			w.start(g)
+			w.pass(sec)
+		}
+	}
+	astray := n
+	for _, hosts := range at {
+		most := 0
+		for _, legs := range hosts {
+			most = max(most, legs)
+		}
+		astray -= most
+	}
+	if astray > n/20 {
+		t.Errorf("%d of %d first reads went elsewhere than most of their prefix", astray, n)
+	}
+}
+
+// One that this dispatcher happened to read a text at does not take the home's place.
+func TestHomeBeforeWhereItWasRead(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.fleet(6, 0, 1)
+	home := w.arriveIn(1, 0, 7, 6000, 5000, 6*sec).out().host
+	w.end(w.gens[1], ReadDone, 5000)
+	w.start(w.gens[1])
+	clear(w.d.byID[home.id].texts)
+	for _, h := range w.d.hosts {
+		if h.role == Reader && h.id != home.id {
+			h.texts[7] = true
+		}
+	}
+	w.pass(sec)
+	if h := w.arriveIn(2, 0, 7, 6000, 5000, 6*sec).out().host; h.id != home.id {
+		t.Errorf("read at %d and not at %d, where all others read it", h.id, home.id)
+	}
+}
+
+// What a home turns out not to keep is learnt.
+func TestHomesThatKeepNothing(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.fleet(4, 0, 1)
+	for i := range GenID(40) {
+		g := w.arriveIn(i+1, 0, PrefixID(i+1), 6000, 5000, 6*sec)
+		w.end(g, ReadDone, 0)
+		w.start(g)
+		w.end(g, Streamed, 0)
+	}
+	g := w.arriveIn(99, 0, 99, 6000, 5000, 6*sec)
+	if read := w.d.toRead(w.d.byID[g.out().host.id], w.d.gens[99]); read < 5800 {
+		t.Errorf("a home is still taken to need %v of 6000", read)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -40,6 +40,7 @@
 	refill       Micros
 	often        map[PrefixID]float64 // generations that began with it
 	arrivals     float64              // all of them
+	homesKeep    float64              // share of shared texts that homes had kept though not read for this dispatcher
 	noConnection trace                // share of new connections that failed
 	looked       uint64               // hosts that were looked at for decisions; tests hold it against the fleet's size
 }
@@ -127,6 +128,7 @@
 	held     bool
 	sent     int
 	out      *leg
+	homes    [2]*host
 	state    *host // the reader where its read state waits
 	tried    []*host
 	ran      *leg // the first leg that may have taken effect
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -399,7 +399,7 @@
 	place := choice.Deployment{
 		Dispatchers: int(d.Dispatching.Dispatchers), OverShareWorth: d.Rules.OverShareWorth,
 		WritersRead: d.Dispatching.WritersRead, LegLimit: int(d.Dispatching.LegLimit), MayCancel: d.Dispatching.MayCancel,
-		MaxComeBack: micros(d.Dispatching.MaxComeBackMs), Tick: tick, Idle: micros(d.Dispatching.IdleMs),
+		MaxComeBack: micros(d.Dispatching.MaxComeBackMs), Tick: tick, Idle: micros(d.Dispatching.IdleMs), Connect: micros(d.Dispatching.ConnectMs),
 		Cold: micros(d.Rules.ColdMs), ColdFrom: d.Rules.ColdFrom, Fall: micros(d.Rules.FallMs),
 		FallMultiple: d.Rules.FallMultiple}
 	for _, p := range d.Products {
--- a/internal/engine/ending.go
+++ b/internal/engine/ending.go
@@ -20,6 +20,7 @@
 	Note   int     // ReadDone: prompt tokens found kept. Full: 1 if there was no state to fetch
 	Memory float64 // share of the host's memory that is held, or choice.NoReport
 	State  string  // ReadDone: where the state lies, as the host put it
+	Cut    bool    // the connection was closed from here with the leg on it
 	Bad    bool    // the host says that what it was sent is no good: no other would do better
 	Why    string  // for logs: which line of the table in docs/legs.md
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,7 @@
 	Silence seam.Micros // a stream that has begun and brings nothing for so long counts as broken
 	Most    int         // connections to one host
 	Opening int         // of these, those that may be opening at once; legs beyond them wait, Connect at most
+	Rest    seam.Micros // before a connection that brought an answer is used again, so that a second one, sent late, is seen as such
 	All     int         // connections to all hosts, where it is above 0; before more are opened the one idle for longest is closed
 }
 
@@ -163,6 +164,7 @@
 	most   int // bytes of an answer that is not streamed
 	asks   func(addr string, left seam.Micros) []byte
 	due    seam.Micros // when the time allowed is over
+	leave  seam.Micros // when it has to have left
 	allow  seam.Timer
 	ended  bool
 
@@ -224,7 +226,7 @@
 
 func (e *Engine) call(h *host, c Call, allow seam.Micros, hear Hearer) *Leg {
 	l := &Leg{engine: e, host: h, hear: hear, memory: choice.NoReport, answer: c.Answer, stream: c.Stream, most: c.Most,
-		letsGo: c.Spare, events: sse.Parser{Most: eventMost}, asks: c.Request, due: e.loop.Now() + allow}
+		letsGo: c.Spare, events: sse.Parser{Most: eventMost}, asks: c.Request, due: e.loop.Now() + allow, leave: e.loop.Now() + e.trunks.Connect}
 	l.allow = e.loop.After(allow, l.late)
 	if l.host == nil || l.host.addr == "" {
 		e.loop.Later(func() { l.end(Outcome{How: choice.Unreachable, Why: "the host has no address"}, false) })
@@ -274,7 +276,7 @@
 
 // carry puts a leg onto an idle connection, or a new one.
 func (e *Engine) carry(l *Leg) {
-	h := l.host
+	h, now := l.host, e.loop.Now()
 	for n := len(h.idle); n > 0; n = len(h.idle) {
 		t := h.idle[n-1]
 		t.retire()
@@ -297,7 +299,7 @@
 	}
 	if h.opening >= e.trunks.Opening && !l.letsGo {
 		w := &waiter{leg: l}
-		w.timer = e.loop.After(e.trunks.Connect, func() {
+		w.timer = e.loop.After(max(l.leave-now, 0), func() {
 			h.waiting = slices.DeleteFunc(h.waiting, func(o *waiter) bool { return o == w })
 			l.end(Outcome{How: choice.Unreachable, Why: "too many connections to the host are opening"}, false)
 		})
@@ -310,7 +312,7 @@
 	t := &trunk{engine: e, host: h, addr: h.addr, parser: http1.Parser{Response: true, Bounds: http1.Usual}}
 	t.leg = l
 	l.trunk = t
-	t.conn = dial(h.addr, e.trunks.Connect, t)
+	t.conn = dial(h.addr, max(l.leave-now, 1), t)
 }
 
 // makeRoom closes the connection to any host that has been idle for longest, so that its descriptor can be used.
@@ -401,6 +403,7 @@
 	l.ended = true
 	l.allow.Stop()
 	if broken {
+		o.Cut = true
 		l.drop()
 	}
 	if o.Memory == 0 {
@@ -624,21 +627,41 @@
 	case t.last || t.down || t.addr != t.host.addr || t.host.gone:
 		t.conn.Close()
 	default:
-		t.host.idle = append(t.host.idle, t)
-		t.engine.lastNo++
-		t.idleNo = t.engine.lastNo
 		t.carried++
 		t.idleAt = t.engine.loop.Now()
-		t.idleTimer = t.engine.loop.After(t.engine.trunks.Idle, func() {
-			t.retire()
-			t.conn.Close()
-		})
+		if rest := t.engine.trunks.Rest; rest > 0 {
+			t.engine.loop.After(rest, t.wait)
+		} else {
+			t.wait()
+		}
 	}
 	t.engine.next(t.host)
 	l.end(o, false)
 	return nil
 }
 
+// wait makes a connection usable for another leg.
+func (t *trunk) wait() {
+	h, e := t.host, t.engine
+	if t.down {
+		return
+	}
+	if t.addr != h.addr || h.gone {
+		t.conn.Close()
+		return
+	}
+	h.idle = append(h.idle, t)
+	e.lastNo++
+	t.idleNo = e.lastNo
+	t.idleTimer = e.loop.After(e.trunks.Idle, func() {
+		t.retire()
+		t.conn.Close()
+	})
+	if e.trunks.Rest > 0 {
+		e.next(h)
+	}
+}
+
 // LetGo has a host drop whatever it holds for some legs. It may have a connection and a descriptor beyond those that legs may use,
 // as a state must not be pinned by want of either. Where it may not have arrived it is tried again, with all else that the host is
 // owed in one request, for as long as a host keeps by its own lease what nobody asks for.
--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"math/rand"
 	"strconv"
 	"strings"
 	"testing"
@@ -227,3 +228,49 @@
 		}
 	}
 }
+
+// TestNeverTwoLegsOut: a leg that was given up is out until its host has seen its connection close, and ways through the network differ:
+// neither another leg nor a throttling may overtake that.
+func TestNeverTwoLegsOut(t *testing.T) {
+	for _, may := range []string{"true", "false"} {
+		r := newRigAt(t, strings.Replace(settings, `"may_cancel": true`, `"may_cancel": `+may, 1), 256, "prefill", "prefill", "prefill", "decode", "decode")
+		chance := rand.New(rand.NewSource(5))
+		out := map[string]*line{}
+		overtaken := 0
+		for i, h := range r.hosts {
+			usual, hangs := h.serve, i < 2
+			h.serve = func(l *line) {
+				id := l.head.Get("Req-Id")
+				if before := out[id]; before != nil && !before.closed {
+					overtaken++
+				}
+				if hangs {
+					out[id] = l
+					return
+				}
+				delete(out, id)
+				usual(l)
+			}
+		}
+		r.w.Delay = func() seam.Micros { return seam.Micros(chance.Intn(8000)) }
+		for i := range 60 {
+			product, limit := "post", "1500m"
+			if i%2 > 0 {
+				product = "explain"
+			}
+			if i%3 > 0 {
+				limit = "4000m"
+			}
+			c := r.ask(product, "Req-Key", strconv.Itoa(i), "Req-Extra", "prompt_len=512,max_out=80", "Req-Deadline", limit)
+			r.final(c)
+		}
+		r.w.Delay = nil
+		if overtaken > 0 {
+			t.Errorf("may cancel %s: %d legs overtook the close of the one before", may, overtaken)
+		}
+		if n := r.hosts[0].count("POST") + r.hosts[1].count("POST"); n < 5 || r.x.Streamed < 40 {
+			t.Errorf("%d legs hung, %d were streamed", n, r.x.Streamed)
+		}
+		r.quiet()
+	}
+}
--- a/internal/platform/launch/launch.go
+++ b/internal/platform/launch/launch.go
@@ -154,6 +154,10 @@
 	if err != nil {
 		return err
 	}
+	for i, p := range b.Terms.Place.Products {
+		log.Info().Str("product", b.Terms.Products[i]).Int("effect", int(p.Effect)).Int("group", int(p.Group)).Int64("window", int64(p.Window)).
+			Int64("slo", int64(p.SLO)).Msg("a product")
+	}
 	log.Info().Str("listen", b.Listen).Str("discovery", b.Discovery).Float64("cores", b.Cores).Int("memory", b.Memory).Int("sockets", b.Sockets).
 		Int("dispatchers", b.Terms.Place.Dispatchers).Msg("serving")
 	var stand func()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -44,6 +44,11 @@
 	leasePart = 0.6
 	// The agent on this machine tells what it has at once; without a word of it for so long, what was known before will do.
 	agentWithin = seam.Second
+	// A leg that is given up is out until its host sees its connection closed, which takes a way through the network, between zones at the
+	// most. Nothing else is done for its generation for so long.
+	closeSeen = 20 * seam.Millisecond
+	// A host may send a second answer some milliseconds late; on a connection in use it would be taken for the next leg's.
+	rest = 15 * seam.Millisecond
 	// What runs on after SIGTERM may be on new connections for so long.
 	leaveAfter = 500 * seam.Millisecond
 )
@@ -82,9 +87,11 @@
 	legs     choice.LegNo // sent so far
 	leg      *engine.Leg  // that is out
 	host     choice.HostID
-	reads    bool // the leg does
-	started  bool // the leg's stream has, and the client has it
-	answered bool // or nobody waits any more
+	sent     seam.Micros // when the leg was ordered
+	reads    bool        // the leg does
+	closing  bool        // it is given up, and its host may not have seen it yet
+	started  bool        // the leg's stream has, and the client has it
+	answered bool        // or nobody waits any more
 	// A host may hold something for it, likely this one.
 	lies      bool
 	lieAt     choice.HostID
@@ -120,7 +127,7 @@
 // side; what is left is for releases, discovery and the poller.
 func trunks(t *terms.Terms, sockets int, idle seam.Micros) engine.Trunks {
 	most := max(sockets*2/5, 8)
-	return engine.Trunks{Connect: t.Connect, Idle: idle, Silence: silence, Most: most, Opening: max(most/4, 4), All: most}
+	return engine.Trunks{Connect: t.Connect, Idle: idle, Silence: silence, Rest: rest, Most: most, Opening: max(most/4, 4), All: most}
 }
 
 func doors(sockets, memory int) door.Bounds {
@@ -216,7 +223,7 @@
 // recall takes back what has not left yet to hosts that want nothing new: a connection that opens only now must not carry it.
 func (x *Dispatcher) recall() {
 	for _, g := range x.inOrder() {
-		if g.leg != nil && g.leg.Unsent() && !slices.Contains(x.ready, g.host) {
+		if g.leg != nil && !g.closing && g.leg.Unsent() && !slices.Contains(x.ready, g.host) {
 			l, no := g.leg, g.legs-1
 			l.Cancel()
 			x.loop.Later(func() {
@@ -309,7 +316,7 @@
 		return
 	}
 	x.module.Left(x.loop.Now(), g.id)
-	if !x.terms.Place.MayCancel && (g.next != nil || g.leg != nil && g.leg.Unsent()) { // it has not begun and must not
+	if !x.terms.Place.MayCancel && (g.next != nil || g.leg != nil && !g.closing && g.leg.Unsent()) { // it has not begun and must not
 		x.Cancel(g.id, g.legs-1)
 	}
 	x.settle(g)
@@ -354,7 +361,7 @@
 // it; one that has not is taken back, and to a write its state is gone.
 func (x *Dispatcher) expired(g *gen) {
 	l, no := g.leg, g.legs-1
-	if !g.lies || g.releasing || l == nil || !l.Unsent() {
+	if !g.lies || g.releasing || l == nil || g.closing || !l.Unsent() {
 		return
 	}
 	o := engine.Outcome{How: choice.Full, Note: 1, Memory: choice.NoReport, Why: "no connection while its state may wait"}
@@ -390,7 +397,7 @@
 	no := g.legs
 	g.legs++
 	x.Legs++
-	g.host, g.reads, g.started = host, x.role(host) == choice.Reader, false
+	g.host, g.sent, g.reads, g.started = host, x.loop.Now(), x.role(host) == choice.Reader, false
 	carry := func() {
 		hear := engine.Hearer{
 			Event: func(data []byte) { x.event(g, no, data) },
@@ -412,21 +419,27 @@
 
 // afterRelease carries a leg that had to wait, unless its host has begun to go meanwhile.
 func (x *Dispatcher) afterRelease(g *gen, no choice.LegNo, carry func()) {
+	why := "the host is going"
 	if slices.Contains(x.ready, g.host) {
-		carry()
-		return
+		if x.loop.Now()-g.sent <= x.terms.Connect {
+			carry()
+			return
+		}
+		why = "what was held was let go of too late" // by now the time for a repeat may be over, which was looked at when it was ordered
 	}
-	x.ended(g, no, engine.Outcome{How: choice.NeverSent, Memory: choice.NoReport, Why: "the host is going"})
+	x.ended(g, no, engine.Outcome{How: choice.NeverSent, Memory: choice.NoReport, Why: why})
 }
 
 func (x *Dispatcher) event(g *gen, no choice.LegNo, data []byte) {
-	if no != g.legs-1 || g.leg == nil || g.answered {
+	if no != g.legs-1 || g.leg == nil || g.answered || g.closing {
 		return
 	}
 	if !g.started {
 		g.started, g.lies = true, false
 		g.lease.Over()
 		g.leg.Started()
+		x.post.Log.Debug().Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Int64("took", int64(x.loop.Now()-g.sent)).
+			Int64("after", int64(x.loop.Now()-g.ask.Came)).Msg("first event")
 		x.module.Started(x.loop.Now(), g.id, no)
 		if g.answered {
 			return
@@ -442,12 +455,16 @@
 	if no != g.legs-1 {
 		return
 	}
-	g.leg = nil
-	x.Endings[o.How]++
-	if o.How != choice.Streamed && o.How != choice.ReadDone {
-		x.post.Log.Debug().Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Bool("reads", g.reads).
-			Bool("started", g.started).Int("ending", int(o.How)).Str("why", o.Why).Msg("leg ended")
+	if o.Cut && !g.started && !g.closing && o.How != choice.Unreachable {
+		g.closing = true
+		x.loop.After(closeSeen, func() { x.ended(g, no, o) })
+		return
 	}
+	g.leg, g.closing = nil, false
+	x.Endings[o.How]++
+	x.post.Log.Debug().Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Bool("reads", g.reads).Bool("started", g.started).
+		Int("ending", int(o.How)).Int("note", o.Note).Float64("prompt", g.ask.Prompt).Int64("took", int64(x.loop.Now()-g.sent)).
+		Int64("waited", int64(g.sent-g.ask.Came)).Str("product", g.ask.Product).Str("prefix", g.ask.Prefix).Str("why", o.Why).Msg("leg ended")
 	switch o.How {
 	case choice.Unreachable, choice.NeverSent: // and what lies has waited on
 	case choice.Full:
@@ -508,10 +525,10 @@
 // Cancel gives a leg up. That it was cancelled is told after the module's call; one that never left is known not to have run.
 func (x *Dispatcher) Cancel(id choice.GenID, no choice.LegNo) {
 	g := x.gens[id]
-	if g == nil || no != g.legs-1 || g.started || g.leg == nil && g.next == nil {
+	if g == nil || no != g.legs-1 || g.started || g.closing || g.leg == nil && g.next == nil {
 		return
 	}
-	o := engine.Outcome{How: choice.Cancelled, Memory: choice.NoReport, Why: "given up"}
+	o := engine.Outcome{How: choice.Cancelled, Cut: true, Memory: choice.NoReport, Why: "given up"}
 	if g.leg == nil || g.leg.Unsent() {
 		o = engine.Outcome{How: choice.NeverSent, Memory: choice.NoReport, Why: "given up before it left"}
 	}
--- a/internal/sockets/spares.go
+++ b/internal/sockets/spares.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -108,4 +109,13 @@
 	}
 	_ = raw.SetDeadline(time.Now().Add(busyFor))
 	_, _ = raw.Write(l.Busy)
+	if c, ok := raw.(*net.TCPConn); ok { // what comes only now must not reset it either
+		_ = c.CloseWrite()
+		_, _ = io.Copy(discard{}, io.LimitReader(c, int64(len(b))))
+	}
 }
+
+// discard drops what it is told; io.Discard would have the kernel move it between descriptors.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -48,7 +48,7 @@
 			LegLimit:       int(get("limits.send_cap").Int()),
 			MayCancel:      get("limits.may_cancel").Bool(),
 			OnRequest:      get("discovery").String() == "on_request",
-			Tick:           span("tick"), Idle: span("limits.conn_idle"), Cold: span("obligations.cold"),
+			Tick:           span("tick"), Idle: span("limits.conn_idle"), Connect: span("limits.connect_timeout"), Cold: span("obligations.cold"),
 			ColdFrom: get("obligations.cold_from").Float(), Fall: span("obligations.fall"),
 			FallMultiple: get("obligations.fall_multiple").Float(),
 		}}
