--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,8 +24,8 @@
 	readTime     = 0.5     // seconds of work at the least-loaded reader above which others may read
 	homeFactor   = 2.0     // times the least wait that a prefix's home may have
 	homeFloor    = 0.05    // seconds; on an idle fleet any work at all would be more than twice none
-	homeLoad     = 4.0     // times a reader's even part of the traffic, for each further home of a prefix
-	arrivalsFew  = 10.0    // generations that count for others of which nothing is known yet
+	homeLoad     = 0.25    // of a reader's even part of the traffic, for each further home of a prefix
+	arrivalsFew  = 30.0    // generations that count for others of which nothing is known yet
 	arrivalsMost = 1000    // generations after which the prefixes' counts are halved
 	mixedShare   = 1.3     // times the writers' mean load, up to which mixed hosts take generations whole
 	nearFactor   = 1.3     // times the mean fill of the writers of other cells that a near one may have, and
@@ -722,10 +722,7 @@
 func (d *Dispatcher) home(g *generation, key uint64, readers []*host) *host {
 	homes := 1
 	if g.prefix != 0 {
-		// Who has seen little must not take the one prefix it saw for all of the traffic: one generation is no
-		// sign of a part, and all dispatchers would read each text at homes of their own.
-		seen := max(d.often[g.prefix]-1, 0)
-		homes += int(seen / (d.arrivals + arrivalsFew) * float64(len(readers)) / homeLoad)
+		homes += int(d.share(g.prefix) * float64(len(readers)) / homeLoad)
 	}
 	hash := func(a, b *host) int {
 		return cmp.Compare(mix(key^mix(uint64(b.id))), mix(key^mix(uint64(a.id))))
@@ -738,12 +735,24 @@
 	return slices.MinFunc(readers[:min(homes, len(readers))], hash)
 }
 
+// share is a prefix's part of the traffic. Who has seen little must not take the one prefix it saw for all of
+// it: all dispatchers would read each text at homes of their own. So it counts what was seen beyond the first,
+// among some more generations that are taken to be as alike as any two of those seen were; but not for a
+// prefix that would have been seen more often by now if it were like that.
+func (d *Dispatcher) share(prefix PrefixID) float64 {
+	others := max(d.arrivals-1, 0)
+	alike := d.pairs / (d.arrivals*others/2 + arrivalsFew)
+	return (max(d.often[prefix]-1, 0) + arrivalsFew*alike*math.Exp(-others*alike)) / (others + arrivalsFew)
+}
+
 // countPrefix keeps each prefix's part of the traffic; what is long past counts for little.
 func (d *Dispatcher) countPrefix(prefix PrefixID) {
 	d.arrivals++
+	d.pairs += d.often[prefix]
 	d.often[prefix]++
 	if d.arrivals > arrivalsMost {
 		d.arrivals /= 2
+		d.pairs /= 4
 		for p, n := range d.often {
 			if d.often[p] = n / 2; n < 0.1 {
 				delete(d.often, p)
--- a/choice/state.go
+++ b/choice/state.go
@@ -40,6 +40,7 @@
 	refill       Micros
 	often        map[PrefixID]float64 // generations that began with it
 	arrivals     float64              // all of them
+	pairs        float64              // of these, with the same prefix
 	homesKeep    float64              // share of shared texts that homes had kept though not read for this dispatcher
 	noConnection trace                // share of new connections that failed
 	looked       uint64               // hosts that were looked at for decisions; tests hold it against the fleet's size
