--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -1,6 +1,11 @@
 package choice
 
-import "testing"
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+)
 
 // many is a deployment of 100 dispatchers, and one world for each.
 func many(t *testing.T, fill func(w *world)) (ws []*world) {
@@ -246,3 +251,91 @@
 		t.Errorf("a home is still taken to need %v of 6000", read)
 	}
 }
+
+// serve ends reads at once, begins answers and ends those of a second ago.
+func (w *world) serve(gens []*told) {
+	for range 2 {
+		for _, g := range gens {
+			switch l := g.out(); {
+			case l == nil:
+			case l.host.kind == 0:
+				w.end(g, ReadDone, 0)
+			case !l.started:
+				w.start(g)
+			case l.at < w.now-sec:
+				w.end(g, Streamed, 0)
+			}
+		}
+	}
+}
+
+// Whatever the number of dispatchers that share nothing, and however unevenly the traffic falls on them, a host that has just started
+// gets no more than the rule's part of what warm hosts do and the chance that the users allow beside it: N + 2 root of N + 2 in any span.
+// A floor of one generation each would be three hundred.
+func TestSumAtOneColdHost(t *testing.T) {
+	const perS, warmHosts = 40.0, 4
+	for _, n := range []int{3, 30, 300} {
+		place := two(Idempotent)
+		place.Dispatchers, place.Idle = n, 30*sec
+		chance := rand.New(rand.NewSource(int64(n)))
+		weights, sum := make([]float64, n), 0.0
+		for i := range weights {
+			weights[i] = math.Exp(chance.NormFloat64()) // some see several times the mean
+			sum += weights[i]
+		}
+		var sent []Micros
+		var start Micros
+		for i := range n {
+			w := newWorld(t, place, int64(i))
+			w.list(&seen{id: 1}, &seen{id: 2}, &seen{id: 3}, &seen{id: 4})
+			for h := range HostID(warmHosts) {
+				w.list(&seen{id: 11 + h, kind: 1})
+			}
+			began := w.now
+			start = began + 20*sec
+			var open []*told
+			for id := GenID(1); ; id++ {
+				for next := w.now + Micros(chance.ExpFloat64()*sum/(perS*weights[i])*float64(sec)); w.now < next; {
+					w.pass(min(next-w.now, 50*ms))
+					w.serve(open)
+				}
+				if w.now > start+place.Cold {
+					break
+				}
+				if w.now >= start && w.hosts[20] == nil { // all others go: only what the rule leaves keeps legs from it
+					w.list(&seen{id: 20, kind: 1, since: start})
+					for h := range HostID(warmHosts) {
+						w.hosts[11+h].cond = Draining
+						w.list(w.hosts[11+h])
+					}
+				}
+				open = append(open, w.arrive(id, 0, 2000, 6*sec))
+				w.serve(open)
+				open = slices.DeleteFunc(open, func(g *told) bool { return g.settled() && g.out() == nil })
+			}
+			if h := w.hosts[20]; h != nil {
+				sent = append(sent, h.sent...)
+			}
+		}
+		within := func(times []Micros, from Micros) (n float64) {
+			for _, at := range times {
+				if at >= from && at < from+place.Fall {
+					n++
+				}
+			}
+			return n
+		}
+		for from := start; from+place.Fall <= start+place.Cold; from += 50 * ms {
+			got := within(sent, from)
+			// What it can do at the span's end, if warm hosts do what they can.
+			now := place.ColdFrom + (1-place.ColdFrom)*float64(from+place.Fall-start)/float64(place.Cold)
+			allowed := place.FallMultiple * min(now, 1) * perS / warmHosts * secs(place.Fall)
+			if got > allowed+2*math.Sqrt(allowed)+2 {
+				t.Fatalf("%d dispatchers: %v legs in a span from %d ms, %.1f allowed", n, got, (from-start)/ms, allowed)
+			}
+		}
+		if len(sent) < 10 {
+			t.Errorf("%d dispatchers: the cold host got %d legs in 10 s", n, len(sent))
+		}
+	}
+}
