--- a/choice/choice.go
+++ b/choice/choice.go
@@ -843,8 +843,8 @@
 			at = 3
 		case reader == nil || h.zone != reader.zone || d.fill(h) > most:
 			at = 2
-		case h.cell != reader.cell:
-			at = 1
+		case h.cell != reader.cell && d.Dispatchers <= alike*len(hosts):
+			at = 1 // many dispatchers would all overfill a cell's few, and none of them see it
 		}
 		first, hosts[i].step = min(first, at), at
 	}
--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -339,3 +339,27 @@
 		}
 	}
 }
+
+// A cell's few writers do not take all that is read beside them where many dispatchers send, of which none sees that they are full; few
+// dispatchers keep to the cell.
+func TestManySpreadOverTheZone(t *testing.T) {
+	fill := func(w *world) {
+		w.list(&seen{id: 1}, &seen{id: 11, kind: 1}, &seen{id: 12, kind: 1})
+		for i := range HostID(6) {
+			w.list(&seen{id: 13 + i, kind: 1, cell: CellID(1 + i/2)})
+		}
+		w.list(&seen{id: 30, kind: 1, zone: 1, cell: 9})
+	}
+	at := map[CellID]int{}
+	for _, w := range many(t, fill) {
+		at[w.written(1, 2000).out().host.cell]++
+	}
+	if at[0] > 50 || at[9] > 0 {
+		t.Errorf("writes by cell: %v", at)
+	}
+	w := newWorld(t, two(Idempotent), 1)
+	fill(w)
+	if h := w.written(1, 2000).out().host; h.cell != 0 {
+		t.Errorf("one of two dispatchers left the cell for %d", h.cell)
+	}
+}
