--- a/choice/choice.go
+++ b/choice/choice.go
@@ -24,7 +24,7 @@
 	readTime     = 0.5     // seconds of work at the least-loaded reader above which others may read
 	homeFactor   = 2.0     // times the least wait that a prefix's home may have
 	homeFloor    = 0.05    // seconds; on an idle fleet any work at all would be more than twice none
-	homeLoad     = 0.25    // of a reader's even part of the traffic, for each further home of a prefix
+	homeLoad     = 0.5     // of a reader's even part of the traffic, for each further home of a prefix
 	arrivalsFew  = 30.0    // generations that count for others of which nothing is known yet
 	arrivalsMost = 1000    // generations after which the prefixes' counts are halved
 	mixedShare   = 1.3     // times the writers' mean load, up to which mixed hosts take generations whole
