--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -165,8 +165,12 @@
 		r.w.Block(h.loop, r.loop, 5*seam.Second)
 	}
 	r.w.Run(300 * seam.Millisecond)
-	r.ask("explain") // one host speaks
-	r.w.Run(300 * seam.Millisecond)
+	spoke := r.hosts[0].count("POST")
+	for i := 0; i < 20 && r.hosts[0].count("POST") == spoke; i++ { // until one host speaks, the home of a text
+		r.ask("explain", "Req-Extra", "prefix="+strconv.Itoa(i)+",prompt_len=512,prefix_len=256,max_out=80")
+		r.w.Run(5 * seam.Millisecond)
+	}
+	r.w.Run(200 * seam.Millisecond)
 	r.far.Do(c.conn.Abort)
 	r.until(200*seam.Millisecond, "a release", func() bool { return r.hosts[0].count("DELETE") > 0 })
 }
