--- a/choice/choice.go
+++ b/choice/choice.go
@@ -735,10 +735,10 @@
 	return slices.MinFunc(readers[:min(homes, len(readers))], hash)
 }
 
-// share is a prefix's part of the traffic. Who has seen little must not take the one prefix it saw for all of
-// it: all dispatchers would read each text at homes of their own. So it counts what was seen beyond the first,
-// among some more generations that are taken to be as alike as any two of those seen were; but not for a
-// prefix that would have been seen more often by now if it were like that.
+// share is a prefix's part of the traffic. Who has seen little must not take the one prefix it saw for all
+// of it: all dispatchers would read each text at homes of their own. So it counts what was seen beyond the
+// first, among some more generations that are taken to be as alike as any two of those seen were; but not for
+// a prefix that would have been seen more often by now if it were like that.
 func (d *Dispatcher) share(prefix PrefixID) float64 {
 	others := max(d.arrivals-1, 0)
 	alike := d.pairs / (d.arrivals*others/2 + arrivalsFew)
@@ -1107,10 +1107,10 @@
 
 func (d *Dispatcher) cold(h *host) bool { return h.since > 0 && d.now-h.since < d.Cold }
 
-// seeWarm learns what warm hosts of each role lately did, and keeps it: where all of a role start together no warm
-// one is left to go by, and what was not seen before would let next to nothing through. So it is looked at on each
-// beat, not only once there are cold ones. Those that look ill do not count: dead ones that the list still names
-// would make the others' work look small.
+// seeWarm learns what warm hosts of each role lately did, and keeps it: where all of a role start together
+// no warm one is left to go by, and what was not seen before would let next to nothing through. So it is
+// looked at on each beat, not only once there are cold ones. Those that look ill do not count: dead ones that
+// the list still names would make the others' work look small.
 func (d *Dispatcher) seeWarm() {
 	var sum, n [4]float64
 	d.looked += uint64(len(d.hosts))
