--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,8 +60,6 @@
 }
 
 const (
-	// A host may send a second answer some milliseconds late; on a connection in use it would be taken for the next leg's.
-	rest = 15 * seam.Millisecond
 	// bodies of the largest size that clients may have kept at once, in all. Each leg sends its generation's again, so that the
 	// memory that goes with them is a few times as much.
 	bodiesMost = 64
@@ -164,7 +162,7 @@
 		products: map[string]choice.ProductID{},
 		hosts:    map[choice.HostID]roster.Entry{}}
 	x.engine = engine.New(loop, post.Name, post.Zone, engine.Trunks{Connect: ms(d.Dispatching.ConnectMs),
-		Idle: ms(d.Dispatching.IdleMs), Silence: ms(d.Dispatching.SilenceMs), Rest: rest, Most: int(d.Dispatching.Connections),
+		Idle: ms(d.Dispatching.IdleMs), Silence: ms(d.Dispatching.SilenceMs), Most: int(d.Dispatching.Connections),
 		Opening: int(d.Dispatching.Openings)})
 	for i, p := range d.Products {
 		x.products[p.Name] = choice.ProductID(i)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,7 +23,6 @@
 	Silence seam.Micros // a stream that has begun and brings nothing for so long counts as broken
 	Most    int         // connections to one host
 	Opening int         // of these, those that may be opening at once; legs beyond them wait, Connect at most
-	Rest    seam.Micros // before a connection that brought an answer is used again, so that a second one, sent late, is seen as such
 	All     int         // connections to all hosts, where it is above 0; before more are opened the one idle for longest is closed
 }
 
@@ -40,6 +39,10 @@
 	forgetAfter    = 60 * seam.Second
 	roomTries      = 3 // connections that are closed so that one leg may have one
 	roomPause      = seam.Millisecond
+
+	// Before a connection that brought an answer is used again: a host may send a second one some milliseconds late, which on a
+	// connection in use would be taken for the next leg's.
+	restFor = 15 * seam.Millisecond
 )
 
 // Engine holds the connections to all hosts.
@@ -629,11 +632,7 @@
 	default:
 		t.carried++
 		t.idleAt = t.engine.loop.Now()
-		if rest := t.engine.trunks.Rest; rest > 0 {
-			t.engine.loop.After(rest, t.wait)
-		} else {
-			t.wait()
-		}
+		t.engine.loop.After(restFor, t.wait)
 	}
 	t.engine.next(t.host)
 	l.end(o, false)
@@ -657,9 +656,7 @@
 		t.retire()
 		t.conn.Close()
 	})
-	if e.trunks.Rest > 0 {
-		e.next(h)
-	}
+	e.next(h)
 }
 
 // LetGo has a host drop whatever it holds for some legs. It may have a connection and a descriptor beyond those that legs may use,
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,8 +47,6 @@
 	// A leg that is given up is out until its host sees its connection closed, which takes a way through the network, between zones at the
 	// most. Nothing else is done for its generation for so long.
 	closeSeen = 20 * seam.Millisecond
-	// A host may send a second answer some milliseconds late; on a connection in use it would be taken for the next leg's.
-	rest = 15 * seam.Millisecond
 	// What runs on after SIGTERM may be on new connections for so long.
 	leaveAfter = 500 * seam.Millisecond
 )
@@ -127,7 +125,7 @@
 // side; what is left is for releases, discovery and the poller.
 func trunks(t *terms.Terms, sockets int, idle seam.Micros) engine.Trunks {
 	most := max(sockets*2/5, 8)
-	return engine.Trunks{Connect: t.Connect, Idle: idle, Silence: silence, Rest: rest, Most: most, Opening: max(most/4, 4), All: most}
+	return engine.Trunks{Connect: t.Connect, Idle: idle, Silence: silence, Most: most, Opening: max(most/4, 4), All: most}
 }
 
 func doors(sockets, memory int) door.Bounds {
@@ -224,13 +222,7 @@
 func (x *Dispatcher) recall() {
 	for _, g := range x.inOrder() {
 		if g.leg != nil && !g.closing && g.leg.Unsent() && !slices.Contains(x.ready, g.host) {
-			l, no := g.leg, g.legs-1
-			l.Cancel()
-			x.loop.Later(func() {
-				if g.leg == l {
-					x.ended(g, no, engine.Outcome{How: choice.Unreachable, Memory: choice.NoReport, Why: "the host is going"})
-				}
-			})
+			x.takeBack(g, engine.Outcome{How: choice.Unreachable, Memory: choice.NoReport, Why: "the host is going"})
 		}
 	}
 }
@@ -438,8 +430,10 @@
 		g.started, g.lies = true, false
 		g.lease.Over()
 		g.leg.Started()
-		x.post.Log.Debug().Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Int64("took", int64(x.loop.Now()-g.sent)).
-			Int64("after", int64(x.loop.Now()-g.ask.Came)).Msg("first event")
+		if e := x.post.Log.Debug(); e.Enabled() {
+			e.Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Int64("took", int64(x.loop.Now()-g.sent)).
+				Int64("after", int64(x.loop.Now()-g.ask.Came)).Msg("first event")
+		}
 		x.module.Started(x.loop.Now(), g.id, no)
 		if g.answered {
 			return
@@ -462,9 +456,11 @@
 	}
 	g.leg, g.closing = nil, false
 	x.Endings[o.How]++
-	x.post.Log.Debug().Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Bool("reads", g.reads).Bool("started", g.started).
-		Int("ending", int(o.How)).Int("note", o.Note).Float64("prompt", g.ask.Prompt).Int64("took", int64(x.loop.Now()-g.sent)).
-		Int64("waited", int64(g.sent-g.ask.Came)).Str("product", g.ask.Product).Str("prefix", g.ask.Prefix).Str("why", o.Why).Msg("leg ended")
+	if e := x.post.Log.Debug(); e.Enabled() {
+		e.Str("id", g.ask.ID).Int("leg", int(no)).Str("host", x.hosts[g.host].Name).Bool("reads", g.reads).Bool("started", g.started).
+			Int("ending", int(o.How)).Int("note", o.Note).Float64("prompt", g.ask.Prompt).Int64("took", int64(x.loop.Now()-g.sent)).
+			Int64("waited", int64(g.sent-g.ask.Came)).Str("product", g.ask.Product).Str("prefix", g.ask.Prefix).Str("why", o.Why).Msg("leg ended")
+	}
 	switch o.How {
 	case choice.Unreachable, choice.NeverSent: // and what lies has waited on
 	case choice.Full:
@@ -532,7 +528,12 @@
 	if g.leg == nil || g.leg.Unsent() {
 		o = engine.Outcome{How: choice.NeverSent, Memory: choice.NoReport, Why: "given up before it left"}
 	}
-	l := g.leg
+	x.takeBack(g, o)
+}
+
+// takeBack ends the leg that is out, or that waits to be; that is told after the call that is under way.
+func (x *Dispatcher) takeBack(g *gen, o engine.Outcome) {
+	l, no := g.leg, g.legs-1
 	if l != nil {
 		l.Cancel()
 	}
--- a/internal/sockets/close_test.go
+++ b/internal/sockets/close_test.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"plumspindle/internal/seam"
 )
 
 // served listens with one handler and dials by the standard library, whose reads and writes the test orders itself.
@@ -17,17 +15,7 @@
 	t.Helper()
 	l := start(t)
 	l.TakeIn = 8 << 10
-	server.closed = make(chan error, 1)
-	var addr string
-	l.Do(func() {
-		ln, err := l.Listen("127.0.0.1:0", func(c seam.Conn) seam.Handler { server.conn = c; return server })
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		addr = ln.Addr()
-	})
-	c, err := net.Dial("tcp", addr)
+	c, err := net.Dial("tcp", listen(t, l, server))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -60,20 +60,27 @@
 	}
 }
 
-// pair listens with one handler and dials with another.
-func pair(t *testing.T, server, client *ear) (*Loop, *Loop) {
+// listen takes connections with one handler.
+func listen(t *testing.T, l *Loop, server *ear) (addr string) {
 	t.Helper()
-	a, b := start(t), start(t)
-	server.closed, client.closed = make(chan error, 1), make(chan error, 1)
-	var addr string
-	a.Do(func() {
-		ln, err := a.Listen("127.0.0.1:0", func(c seam.Conn) seam.Handler { server.conn = c; return server })
+	server.closed = make(chan error, 1)
+	l.Do(func() {
+		ln, err := l.Listen("127.0.0.1:0", func(c seam.Conn) seam.Handler { server.conn = c; return server })
 		if err != nil {
 			t.Error(err)
 			return
 		}
 		addr = ln.Addr()
 	})
+	return addr
+}
+
+// pair listens with one handler and dials with another.
+func pair(t *testing.T, server, client *ear) (*Loop, *Loop) {
+	t.Helper()
+	a, b := start(t), start(t)
+	client.closed = make(chan error, 1)
+	addr := listen(t, a, server)
 	b.Do(func() { client.conn = b.Dial(addr, seam.Second, client) })
 	return a, b
 }
--- a/internal/sockets/spares.go
+++ b/internal/sockets/spares.go
@@ -111,11 +111,6 @@
 	_, _ = raw.Write(l.Busy)
 	if c, ok := raw.(*net.TCPConn); ok { // what comes only now must not reset it either
 		_ = c.CloseWrite()
-		_, _ = io.Copy(discard{}, io.LimitReader(c, int64(len(b))))
+		_, _ = io.Copy(io.Discard, io.LimitReader(c, int64(len(b)))) // the limit also hides the connection's own splicing
 	}
 }
-
-// discard drops what it is told; io.Discard would have the kernel move it between descriptors.
-type discard struct{}
-
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
