--- a/choice/decide_test.go
+++ b/choice/decide_test.go
@@ -448,3 +448,26 @@
 		t.Errorf("%v was seen, and %v is left while all are dead", before, w.d.warm[Writer])
 	}
 }
+
+// That a state is gone may be known without a word from its writer, which is not taken for one that spoke.
+func TestStateGoneSaysNothingOfTheHost(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.fleet(2, 0, 1)
+	g := w.written(1, 2000)
+	h := w.d.byID[g.out().host.id]
+	if w.end(g, Full, 1); h.heard != 0 || h.fullUntil != 0 {
+		t.Errorf("heard at %d, full until %d", h.heard, h.fullUntil)
+	}
+}
+
+// A home that turns out not to keep a text that only others had read there has forgotten nothing that this dispatcher knows of.
+func TestHomeThatNeverKeptForgetsNothing(t *testing.T) {
+	w := newWorld(t, two(Idempotent), 1)
+	w.list(&seen{id: 1}, &seen{id: 11, kind: 1})
+	w.d.byID[1].texts[77] = true
+	g := w.arriveIn(1, 0, 5, 6000, 5000, 6*sec)
+	w.end(g, ReadDone, 0)
+	if !w.d.byID[1].texts[77] || !w.d.byID[1].texts[5] {
+		t.Errorf("known texts: %v", w.d.byID[1].texts)
+	}
+}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -42,3 +42,33 @@
 		}
 	}
 }
+
+// TestLeavesInTime: a leg that waited for its turn to open a connection has the rest of the time for one, not all of it anew: whether it
+// may still be sent was looked at when it was ordered.
+func TestLeavesInTime(t *testing.T) {
+	w := virtual.New(1)
+	far, own := w.Loop("far"), w.Loop("own")
+	ln, err := far.Listen("127.0.0.1:0", func(c seam.Conn) seam.Handler { return deaf{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Block(own, far, 10*seam.Second)
+	e := New(own, "d", "", Trunks{Connect: seam.Second, Idle: seam.Second, Most: 4, Opening: 1})
+	var took []seam.Micros
+	call := func() {
+		began := w.Now()
+		e.Call(1, Call{Request: func(addr string, _ seam.Micros) []byte { return http1.AppendRequest(nil, "POST", "/", addr, nil) }},
+			5*seam.Second, Hearer{Ended: func(o Outcome) {
+				if took = append(took, w.Now()-began); o.How != choice.Unreachable {
+					t.Errorf("it ended %d: %s", o.How, o.Why)
+				}
+			}})
+	}
+	own.Do(func() { e.Place(1, ln.Addr()); call() })
+	w.Run(500 * seam.Millisecond)
+	own.Do(call)
+	w.Run(4 * seam.Second)
+	if len(took) != 2 || took[1] > seam.Second+seam.Millisecond {
+		t.Errorf("the legs took %v", took)
+	}
+}
--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"plumspindle/choice"
 	"plumspindle/internal/seam"
 )
 
@@ -136,6 +137,18 @@
 		c := r.ask(product)
 		r.until(seam.Second, "the read", func() bool { return r.legs() == 1 })
 		r.until(500*seam.Millisecond, "a release", func() bool { return r.releases() == 1 })
+		read := 0
+		for _, h := range r.writers() { // one that is asked for a state that is not there says so, and the leg is lost
+			h.serve = func(l *line) {
+				if read == 0 {
+					t.Errorf("%s: written without a state", product)
+				}
+				write(l)
+			}
+		}
+		for _, h := range r.readers() {
+			h.serve = func(l *line) { read++; l.answer(202, "") }
+		}
 		if got := r.final(c); got != 200 {
 			t.Errorf("%s: answered %d", product, got)
 		}
@@ -143,6 +156,81 @@
 	}
 }
 
+// TestAStateWaitsAnewAfterALeg: its time counts from the end of the last leg that left, and then it binds again.
+func TestAStateWaitsAnewAfterALeg(t *testing.T) {
+	r := newRig(t, 256, "prefill", "prefill", "decode", "decode", "decode", "decode", "decode")
+	refused := false
+	for _, h := range r.writers() {
+		h.serve = func(l *line) { // the first says only after 0.4 s that it is full, and by then no other can be reached
+			for _, o := range r.writers() {
+				r.w.Block(r.loop, o.loop, 3*seam.Second)
+			}
+			h.loop.After(400*seam.Millisecond, func() { l.answer(503, "", "Srv-Declined", "1"); refused = true })
+		}
+	}
+	c := r.ask("explain")
+	r.until(seam.Second, "a refusal", func() bool { return refused })
+	if r.releases() > 0 {
+		t.Error("let go of while a leg was out")
+	}
+	r.until(500*seam.Millisecond, "a release", func() bool { return r.releases() > 0 })
+	r.far.Do(c.conn.Abort)
+	r.w.Run(5 * seam.Second)
+	r.quiet()
+}
+
+// TestASecondAnswerLate: it comes while the connection would be in use again, and is not taken for the next generation's.
+func TestASecondAnswerLate(t *testing.T) {
+	for span := seam.Micros(500); span <= 10*seam.Millisecond; span += 500 {
+		r := newRig(t, 256, "prefill", "decode")
+		n := 0
+		own := func() string { return strings.Replace(word, "Lamu", "Lamu "+strconv.Itoa(n), 1) }
+		r.hosts[1].serve = func(l *line) {
+			n++
+			text := own()
+			answer := func() { l.stream(text, stop, usage, "[DONE]"); l.last() }
+			if answer(); n == 1 {
+				l.h.loop.After(span, answer)
+			}
+		}
+		var last *client
+		for i := range 6 {
+			last = r.ask("post")
+			r.until(seam.Second, "an answer", func() bool { return len(last.finals) > 0 || last.closed })
+			if len(last.got) == 0 || last.got[0] != own() || n != i+1 {
+				t.Fatalf("after %d µs: generation %d was answered %q and written %d times in all", span, i+1, last.got, n)
+			}
+		}
+	}
+}
+
+// TestAReleaseThatTakesLong: a leg that waited for it longer than for any connection does not leave any more, as by then what was
+// looked at when it was ordered may no longer hold.
+func TestAReleaseThatTakesLong(t *testing.T) {
+	r := newRig(t, 256, fleet...)
+	met := 0
+	all(r.writers(), func(l *line) {
+		if met++; met == 1 {
+			l.answer(410, "", "Srv-Declined", "1")
+			return
+		}
+		write(l)
+	})
+	for _, h := range r.hosts {
+		h.slack = seam.Second
+	}
+	c := r.ask("explain")
+	r.until(seam.Second, "a release", func() bool { return r.releases() > 0 })
+	r.w.Run(300 * seam.Millisecond)
+	for _, h := range r.hosts {
+		h.slack = 0
+	}
+	if got := r.final(c); got != 200 || r.x.Endings[choice.NeverSent] != 1 {
+		t.Errorf("answered %d with endings %v", got, r.x.Endings)
+	}
+	r.quiet()
+}
+
 // TestReleaseWhereMostAreSilent: connections to hosts that have fallen silent wait like any others; a release goes to one that spoke.
 func TestReleaseWhereMostAreSilent(t *testing.T) {
 	r := newRig(t, 256, "prefill", "prefill", "decode", "decode", "decode", "decode", "decode", "decode", "decode", "decode")
@@ -214,21 +302,14 @@
 		if r.w.Run(10 * seam.Second); r.legs() != 1 {
 			t.Errorf("%d legs", r.legs())
 		}
-		// The leg waits for its connection.
+		// The leg waits for its connection, which takes twice as long as the news.
 		r = newRigAt(t, at, 256, fleet...)
-		for _, h := range r.readers() {
-			r.w.Delay = func() seam.Micros { return 0 }
-			h.ln.Close()
-		}
-		c = r.ask("explain")
 		r.w.Latency = 60 * seam.Millisecond
-		for _, h := range r.readers() {
-			h.loop.Do(func() { h.up(h.addr) })
-		}
-		r.w.Run(30 * seam.Millisecond)
+		c = r.ask("explain")
+		r.until(seam.Second, "the leg's order", func() bool { return r.x.Legs == 1 })
 		r.far.Do(c.conn.Abort)
-		if r.w.Run(5 * seam.Second); r.legs() > 0 {
-			t.Errorf("may cancel %s: %d legs after its client had gone", may, r.legs())
+		if r.w.Run(5 * seam.Second); r.legs() > 0 || r.x.Left != 1 {
+			t.Errorf("may cancel %s: %d legs, %d clients left", may, r.legs(), r.x.Left)
 		}
 	}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -89,10 +89,6 @@
 		"interim answers ahead":       {raw("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + head + whole), 200, 200},
 		"unreadable load report":      {raw(strings.Replace(head, "\r\n\r\n", "\r\nSrv-Load: {{\xff\r\n\r\n", 1) + whole), 200, 200},
 		"a second answer right after": {raw(head + whole + head + whole), 200, 200},
-		"a second answer late": {func(l *line) {
-			l.conn.Write([]byte(head + whole))
-			l.h.loop.After(5*seam.Millisecond, func() { l.conn.Write([]byte(head + whole)) })
-		}, 200, 200},
 	} {
 		for i, product := range []string{"explain", "post"} {
 			t.Run(name+", "+product, func(t *testing.T) {
--- a/internal/sockets/close_test.go
+++ b/internal/sockets/close_test.go
@@ -5,16 +5,17 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
 )
 
 // served listens with one handler and dials by the standard library, whose reads and writes the test orders itself.
-func served(t *testing.T, server *ear) net.Conn {
+func served(t *testing.T, server *ear, takeIn int) net.Conn {
 	t.Helper()
 	l := start(t)
-	l.TakeIn = 8 << 10
+	l.TakeIn = takeIn
 	c, err := net.Dial("tcp", listen(t, l, server))
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +37,7 @@
 			answered <- nil
 		}
 	}}
-	c := served(t, server)
+	c := served(t, server, 8<<10)
 	if _, err := c.Write([]byte("request")); err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +80,7 @@
 				held <- nil
 			}
 		}
-		c := served(t, server)
+		c := served(t, server, 8<<10)
 		if _, err := c.Write([]byte("request")); err != nil {
 			t.Fatal(err)
 		}
@@ -100,3 +101,34 @@
 		}
 	}
 }
+
+// Holding after the other side's end was noticed, with some of what it sent not handed over yet, ends the connection too.
+func TestHoldAfterTheEnd(t *testing.T) {
+	server := &ear{}
+	turns := 0
+	server.onData = func(e *ear) {
+		if turns++; turns == 2 {
+			e.conn.Hold(true)
+		}
+	}
+	blocked := make(chan error, 1)
+	server.opened = func(e *ear) { // the loop is busy until all has come
+		for c := e.conn.(*conn); ; {
+			c.mu.Lock()
+			gone := c.gone
+			c.mu.Unlock()
+			if gone {
+				break
+			}
+			runtime.Gosched()
+		}
+		blocked <- nil
+	}
+	c := served(t, server, takeInMost)
+	if _, err := c.Write(make([]byte, 90<<10)); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	waitFor(t, "all of it", blocked)
+	waitFor(t, "the end", server.closed)
+}
