--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -170,6 +170,7 @@
 	leave  seam.Micros // when it has to have left
 	allow  seam.Timer
 	ended  bool
+	left   bool // its last byte had, when it ended
 
 	started bool
 	slow    bool        // its client lags, and it is not read
@@ -249,7 +250,12 @@
 }
 
 // Unsent tells that the leg's last byte has not left this process, so that no host can have begun it.
-func (l *Leg) Unsent() bool { return l.trunk == nil || !l.trunk.sent || l.trunk.conn.Unsent() > 0 }
+func (l *Leg) Unsent() bool {
+	if l.ended {
+		return !l.left
+	}
+	return l.trunk == nil || !l.trunk.sent || l.trunk.conn.Unsent() > 0
+}
 
 func (e *Engine) leg(id choice.HostID, name, clientID string, ask *chat.Ask, members string, stream Stream,
 	allow seam.Micros, hear Hearer) *Leg {
@@ -350,6 +356,7 @@
 // of it.
 func (l *Leg) Cancel() {
 	if !l.ended {
+		l.left = !l.Unsent()
 		l.ended = true
 		l.allow.Stop()
 		l.drop()
@@ -403,6 +410,7 @@
 	if l.ended {
 		return
 	}
+	l.left = l.left || !l.Unsent()
 	l.ended = true
 	l.allow.Stop()
 	if broken {
@@ -514,6 +522,7 @@
 		l.end(Outcome{How: choice.Unreachable, Why: cause.Error()}, false)
 		return
 	}
+	l.left = true
 	err := t.parser.Close(t) // an answer that goes on until the close may be complete with it
 	if t.leg == nil {
 		return
@@ -622,7 +631,7 @@
 	} else {
 		o = l.answer(l.head, l.body)
 	}
-	t.leg, l.trunk = nil, nil
+	t.leg, l.trunk, l.left = nil, nil, true
 	t.conn.Pause(false)
 	switch {
 	case t.parser.More() > 0: // what is behind an answer must not be taken for the next one
--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -359,3 +359,42 @@
 		r.quiet()
 	}
 }
+
+// TestGivenUpTwice: what is asked of a leg in the moment after it was given up does not shorten that, nor is it taken for one that has
+// never left: news that its host goes, a cancel, the end of its state's time.
+func TestGivenUpTwice(t *testing.T) {
+	for name, meanwhile := range map[string]func(r *rig, g *gen){
+		"cancel":  func(r *rig, g *gen) { r.x.Cancel(g.id, g.legs-1) },
+		"drain":   func(r *rig, g *gen) { r.x.ready = nil; r.x.recall() },
+		"expired": func(r *rig, g *gen) { g.lies = true; r.x.expired(g) },
+	} {
+		r := newRig(t, 256, fleet...)
+		all(r.writers(), func(*line) {})
+		r.ask("post")
+		closing := func() *gen {
+			for _, g := range r.x.gens {
+				if g.closing {
+					return g
+				}
+			}
+			return nil
+		}
+		r.until(seam.Second, "the write", func() bool { return r.x.Legs == 2 })
+		r.w.Run(100 * seam.Millisecond)
+		for _, g := range r.x.gens { // as its time runs out
+			r.loop.Do(func() { r.x.Cancel(g.id, g.legs-1) })
+		}
+		g := closing()
+		if g == nil {
+			t.Fatal("no leg is being given up")
+		}
+		r.loop.Do(func() { meanwhile(r, g) })
+		if r.w.Run(closeSeen - 2*seam.Millisecond); !g.closing {
+			t.Errorf("%s: it was taken for over at once", name)
+		}
+		r.w.Run(2 * closeSeen)
+		if r.x.Endings[choice.Cancelled] != 1 || r.x.Endings[choice.Unreachable]+r.x.Endings[choice.Full]+r.x.Endings[choice.NeverSent] > 0 {
+			t.Errorf("%s: endings %v", name, r.x.Endings)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -221,7 +221,7 @@
 // recall takes back what has not left yet to hosts that want nothing new: a connection that opens only now must not carry it.
 func (x *Dispatcher) recall() {
 	for _, g := range x.inOrder() {
-		if g.leg != nil && !g.closing && g.leg.Unsent() && !slices.Contains(x.ready, g.host) {
+		if g.leg != nil && g.leg.Unsent() && !slices.Contains(x.ready, g.host) {
 			x.takeBack(g, engine.Outcome{How: choice.Unreachable, Memory: choice.NoReport, Why: "the host is going"})
 		}
 	}
@@ -308,7 +308,7 @@
 		return
 	}
 	x.module.Left(x.loop.Now(), g.id)
-	if !x.terms.Place.MayCancel && (g.next != nil || g.leg != nil && !g.closing && g.leg.Unsent()) { // it has not begun and must not
+	if !x.terms.Place.MayCancel && (g.next != nil || g.leg != nil && g.leg.Unsent()) { // it has not begun and must not
 		x.Cancel(g.id, g.legs-1)
 	}
 	x.settle(g)
@@ -353,7 +353,7 @@
 // it; one that has not is taken back, and to a write its state is gone.
 func (x *Dispatcher) expired(g *gen) {
 	l, no := g.leg, g.legs-1
-	if !g.lies || g.releasing || l == nil || g.closing || !l.Unsent() {
+	if !g.lies || g.releasing || l == nil || !l.Unsent() {
 		return
 	}
 	o := engine.Outcome{How: choice.Full, Note: 1, Memory: choice.NoReport, Why: "no connection while its state may wait"}
@@ -423,7 +423,7 @@
 }
 
 func (x *Dispatcher) event(g *gen, no choice.LegNo, data []byte) {
-	if no != g.legs-1 || g.leg == nil || g.answered || g.closing {
+	if no != g.legs-1 || g.leg == nil || g.answered {
 		return
 	}
 	if !g.started {
--- a/internal/sockets/close_test.go
+++ b/internal/sockets/close_test.go
@@ -107,7 +107,15 @@
 	server := &ear{}
 	turns := 0
 	server.onData = func(e *ear) {
-		if turns++; turns == 2 {
+		switch turns++; turns {
+		case 1: // its closing is told behind the second turn
+			for gone := false; !gone; runtime.Gosched() {
+				gone, _ = e.conn.(*conn).nb.IsClosed()
+			}
+		case 3:
+			if e.conn.(*conn).cause == nil {
+				t.Error("the end is not noticed yet")
+			}
 			e.conn.Hold(true)
 		}
 	}
@@ -125,7 +133,7 @@
 		blocked <- nil
 	}
 	c := served(t, server, takeInMost)
-	if _, err := c.Write(make([]byte, 90<<10)); err != nil {
+	if _, err := c.Write(make([]byte, 100<<10)); err != nil {
 		t.Fatal(err)
 	}
 	c.Close()
