--- a/internal/sockets/close_test.go
+++ b/internal/sockets/close_test.go
@@ -104,39 +104,25 @@
 
 // Holding after the other side's end was noticed, with some of what it sent not handed over yet, ends the connection too.
 func TestHoldAfterTheEnd(t *testing.T) {
+	const size = readAtOnce + 8<<10 // two turns
 	server := &ear{}
-	turns := 0
-	server.onData = func(e *ear) {
-		switch turns++; turns {
-		case 1: // its closing is told behind the second turn
-			for gone := false; !gone; runtime.Gosched() {
-				gone, _ = e.conn.(*conn).nb.IsClosed()
-			}
-		case 3:
-			if e.conn.(*conn).cause == nil {
-				t.Error("the end is not noticed yet")
-			}
-			e.conn.Hold(true)
-		}
-	}
-	blocked := make(chan error, 1)
 	server.opened = func(e *ear) { // the loop is busy until all has come
-		for c := e.conn.(*conn); ; {
+		for c, n := e.conn.(*conn), 0; n < size; runtime.Gosched() {
 			c.mu.Lock()
-			gone := c.gone
+			n = len(c.in)
 			c.mu.Unlock()
-			if gone {
-				break
-			}
-			runtime.Gosched()
 		}
-		blocked <- nil
+	}
+	server.onData = func(e *ear) {
+		e.conn.(*conn).closed(io.EOF)
+		e.conn.Hold(true)
 	}
 	c := served(t, server, takeInMost)
-	if _, err := c.Write(make([]byte, 100<<10)); err != nil {
+	if _, err := c.Write(make([]byte, size)); err != nil {
 		t.Fatal(err)
 	}
-	c.Close()
-	waitFor(t, "all of it", blocked)
 	waitFor(t, "the end", server.closed)
+	if len(server.data) != readAtOnce {
+		t.Errorf("%d bytes were handed over", len(server.data))
+	}
 }
