A failing test: short or interrupted reads and writes stall a connection

Seen by a library that has system calls fall short (internal/testbed/syscallfaults: a seccomp filter on the process under test, no special rights): of 4 connections that echo 20 messages of 40 KB all four stop, at 200 of 1,000 calls short or interrupted; none without faults. Cause: events are edge-triggered; conn.takeIn takes a short read for an empty socket, and nbio's Write waits for an edge that does not come where the system took less than it could.

--- a/internal/sockets/spares_test.go
+++ b/internal/sockets/spares_test.go
@@ -14,12 +14,16 @@
 	"plumspindle/internal/eventloop"
 )
 
-// TestMain is also the process of its own that runs out of descriptors.
+// TestMain is also the processes of their own that run out of descriptors, and that meet faults of system calls.
 func TestMain(m *testing.M) {
 	if os.Getenv("PLUMSPINDLE_FEW_DESCRIPTORS") != "" {
 		fewDescriptors()
 		return
 	}
+	if os.Getenv("PLUMSPINDLE_ECHO") != "" {
+		echo()
+		return
+	}
 	os.Exit(m.Run())
 }
 
