Sockets are read until EAGAIN and written by the loop alone, as calls may be short or interrupted

Cause: events are edge-triggered. conn.takeIn stopped at a read that brought less than its buffer; nbio's Write keeps what a short or interrupted write left and waits for an edge (modWrite does nothing in this mode) that only comes after EAGAIN. hungUp took an interrupted poll for no hang-up. Now only EAGAIN ends a read or a write, and what the socket does not take is offered again after 1 to 32 ms by the loop itself. With one goroutine writing, what has left can't change between a look at Unsent and the abort that follows it: an attempt that was taken back as unsent could leave in that moment, by the poller's flush, and be repeated as one that never ran.

--- a/internal/sockets/conn.go
+++ b/internal/sockets/conn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"sync"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/lesismal/nbio"
@@ -18,14 +17,19 @@
 	lingerFor  = eventloop.Second // for the other side to see that a connection is shut
 )
 
-// conn implements eventloop.Conn over one of nbio's connections.
+// What the socket did not take is offered to it again after a pause, which doubles while it takes nothing.
+const (
+	minWritePause = eventloop.Millisecond
+	maxWritePause = 32 * eventloop.Millisecond
+)
+
+// conn implements eventloop.Conn over one of nbio's connections. The poller reads; only the loop writes, so that what has left does not
+// change between a look at it and what is done about it.
 type conn struct {
-	l            *Loop
-	h            eventloop.Handler
-	nb           *nbio.Conn
-	dialing      eventloop.Timer
-	unsent       atomic.Int64
-	wantsDrained atomic.Bool
+	l       *Loop
+	h       eventloop.Handler
+	nb      *nbio.Conn
+	dialing eventloop.Timer
 
 	mu      sync.Mutex // guards what the poller and the loop both touch
 	in      []byte
@@ -34,6 +38,8 @@
 	gone    bool
 
 	// The loop's own.
+	out      []byte // written, and not taken by the socket yet
+	rewrite  eventloop.Timer
 	accepted bool
 	paused   bool
 	closing  bool
@@ -70,23 +76,22 @@
 			break
 		}
 		n, err := nb.Read(buf[:])
-		if n > 0 {
+		if n > 0 { // a read that brings less than it could says nothing of what is left; only EAGAIN does
 			c.in = append(c.in, buf[:n]...)
+			continue
 		}
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
-		if err != nil && !errors.Is(err, syscall.EAGAIN) || err == nil && n <= 0 {
-			// The other side has ended. nbio closes on a half-close too, after this.
-			if !c.gone {
-				c.gone = true
-				c.l.post(func() { _ = nb.CloseWithError(err) })
-			}
+		if errors.Is(err, syscall.EAGAIN) {
 			break
 		}
-		if err != nil || n < len(buf) {
-			break // a short read has emptied the socket; what comes later is a new edge
+		// The other side has ended. nbio closes on a half-close too, after this.
+		if !c.gone {
+			c.gone = true
+			c.l.post(func() { _ = nb.CloseWithError(err) })
 		}
+		break
 	}
 	if len(c.in) > 0 && !c.posted {
 		c.posted = true
@@ -103,11 +108,20 @@
 
 // hungUp tells that the other side of a descriptor's connection has ended.
 func hungUp(fd int) bool {
-	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(p, 0)
+	n, err := poll(fd, unix.POLLRDHUP)
 	return err == nil && n > 0
 }
 
+// poll looks at a descriptor without waiting.
+func poll(fd int, events int16) (n int, err error) {
+	p := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		if n, err = unix.Poll(p, 0); !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
+
 // handOver gives the handler one turn's worth of what came in.
 func (c *conn) handOver() {
 	c.mu.Lock()
@@ -171,40 +185,88 @@
 func (c *conn) end() {
 	if !c.ended {
 		c.ended = true
-		if c.lingers != nil {
-			c.lingers.Stop()
+		for _, t := range []eventloop.Timer{c.lingers, c.rewrite} {
+			if t != nil {
+				t.Stop()
+			}
 		}
 		c.h.Closed(c.cause)
 	}
 }
 
-func (c *conn) drained() {
-	if c.ended || c.unsent.Load() > 0 {
+// Write implements eventloop.Conn.
+func (c *conn) Write(b []byte) {
+	if c.ended || c.nb == nil || len(b) == 0 {
 		return
 	}
-	if c.closing {
-		c.shut()
+	if len(c.out) > 0 {
+		c.out = append(c.out, b...)
 		return
 	}
-	c.h.Drained()
+	if rest := c.send(b); len(rest) > 0 {
+		c.out = append(c.out, rest...)
+		c.writeLater(minWritePause)
+	}
 }
 
-// Write implements eventloop.Conn.
-func (c *conn) Write(b []byte) {
-	if c.ended || c.nb == nil || len(b) == 0 {
+// send hands to the socket what it takes, and returns the rest. Only EAGAIN tells that the socket is full: a write may take less than it
+// could, and nbio's own waits for an edge that does not come then.
+func (c *conn) send(b []byte) (rest []byte) {
+	var broken error
+	c.socket(func(fd int) {
+		for len(b) > 0 {
+			n, err := unix.Write(fd, b)
+			switch {
+			case n > 0:
+				b = b[n:]
+			case errors.Is(err, syscall.EINTR):
+			case err == nil, noRoom(err):
+				return
+			default:
+				broken = err
+				return
+			}
+		}
+	})
+	if broken != nil {
+		_ = c.nb.CloseWithError(broken) // its closing is heard
+	}
+	return b
+}
+
+// noRoom tells that a write may succeed later.
+func noRoom(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+func (c *conn) writeLater(pause eventloop.Micros) {
+	c.rewrite = c.l.After(pause, func() { c.flush(pause) })
+}
+
+// flush offers to the socket again what it did not take.
+func (c *conn) flush(pause eventloop.Micros) {
+	if c.ended {
 		return
 	}
-	c.wantsDrained.Store(false)
-	c.unsent.Add(int64(len(b)))
-	if n, err := c.nb.Write(b); err != nil || n < 0 {
-		return // its closing is heard
+	had := len(c.out)
+	c.out = c.out[:copy(c.out, c.send(c.out))]
+	switch len(c.out) {
+	case 0:
+		c.out = nil
+		c.drained()
+	case had:
+		c.writeLater(min(2*pause, maxWritePause))
+	default:
+		c.writeLater(minWritePause)
 	}
-	if c.unsent.Load() > 0 {
-		c.wantsDrained.Store(true)
-		if c.unsent.Load() == 0 {
-			c.l.post(c.drained) // it drained between the two
-		}
+}
+
+func (c *conn) drained() {
+	if c.closing {
+		c.shut()
+		return
 	}
+	c.h.Drained()
 }
 
 // Quiet implements eventloop.Conn. It asks the socket: what the poller has seen may not have reached the loop yet.
@@ -229,13 +291,12 @@
 
 // nothingIn tells that a descriptor's connection has neither ended nor anything to be read.
 func nothingIn(fd int) bool {
-	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-	n, err := unix.Poll(p, 0)
+	n, err := poll(fd, unix.POLLIN|unix.POLLRDHUP)
 	return err == nil && n == 0
 }
 
 // Unsent implements eventloop.Conn.
-func (c *conn) Unsent() int { return int(c.unsent.Load()) }
+func (c *conn) Unsent() int { return len(c.out) }
 
 // Pause implements eventloop.Conn.
 func (c *conn) Pause(on bool) {
@@ -264,20 +325,15 @@
 		c.l.Later(c.end)
 		return
 	}
-	if c.nb != nil && c.unsent.Load() == 0 {
+	if c.nb != nil && len(c.out) == 0 {
 		c.shut()
-	} else {
-		c.wantsDrained.Store(true)
-		if c.nb != nil && c.unsent.Load() == 0 {
-			c.shut()
-		}
 	}
 }
 
 // CloseIfQuiet implements eventloop.Conn. The poller reads nothing between the look and the shutdown: what it reads after that is
 // dropped, and came too late.
 func (c *conn) CloseIfQuiet() bool {
-	if c.nb == nil || c.closing || c.ended || c.unsent.Load() > 0 {
+	if c.nb == nil || c.closing || c.ended || len(c.out) > 0 {
 		c.Close()
 		return true
 	}
--- a/internal/sockets/loop.go
+++ b/internal/sockets/loop.go
@@ -1,5 +1,5 @@
-// Package sockets is the event loop over real sockets, which lesismal/nbio polls. Its pollers read and count; every
-// call upwards is made by the one goroutine of the loop.
+// Package sockets is the event loop over real sockets, which lesismal/nbio polls. Its poller reads; the one goroutine of the loop
+// writes and makes every call upwards.
 package sockets
 
 import (
@@ -75,11 +75,6 @@
 			l.post(func() { own.closed(err) })
 		}
 	})
-	l.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
-		if own, ok := c.Session().(*conn); ok && own.unsent.Add(int64(-n)) == 0 && own.wantsDrained.Load() {
-			l.post(own.drained)
-		}
-	})
 	if err := l.engine.Start(); err != nil {
 		return nil, fmt.Errorf("poller not started: %w", err)
 	}
