--- a/internal/platform/discovery/discovery_test.go
+++ b/internal/platform/discovery/discovery_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"testing"
 
 	"plumspindle/internal/eventloop"
@@ -54,6 +55,43 @@
 	}
 }
 
+// TestStartedByAnotherClock: a start that is told in service was a moment ago, whatever the wall clocks say by then; it is told once, however
+// often it is listed. At the beginning nothing but the clock says how long ago a start was.
+func TestStartedByAnotherClock(t *testing.T) {
+	loop := virtual.New(1).Loop("d")
+	loop.Step(1700000000 * eventloop.Second)
+	var got []Entry
+	w := New(loop, 1, "127.0.0.1:1", func(entries []Entry, _ bool) { got = entries }, func(string) {})
+	version := 0
+	listed := func(whole bool, started eventloop.Micros) eventloop.Micros {
+		t.Helper()
+		version++
+		line := fmt.Sprintf(`{"version":%d,"full":%v,"servers":[{"id":"a","state":"SERVING","started_ms":%d}]}`, version, whole, started/eventloop.Millisecond)
+		if err := w.Take([]byte(line)); err != nil || len(got) != 1 {
+			t.Fatalf("%v, entries %+v", err, got)
+		}
+		return got[0].Started
+	}
+	const hour = 3600 * eventloop.Second
+	begin := loop.Now()
+	if at := listed(true, begin-5*eventloop.Second); at != begin-5*eventloop.Second {
+		t.Errorf("at the beginning: started %d us ago, want 5 s", begin-at)
+	}
+	for name, step := range map[string]eventloop.Micros{"no step": 0, "an hour back": -hour, "an hour on": hour, "3 s back": -3 * eventloop.Second} {
+		loop.Step(60 * eventloop.Second)
+		told := loop.Now()
+		raw := told + step - 200*eventloop.Millisecond
+		if at := listed(false, raw); told-at > eventloop.Second || at > told {
+			t.Errorf("%s: a start that is told now was %d ms ago", name, (told-at)/eventloop.Millisecond)
+		}
+		first := got[0].Started
+		loop.Step(eventloop.Second)
+		if at := listed(true, raw); at != first {
+			t.Errorf("%s: listed again it has started %d ms later", name, (at-first)/eventloop.Millisecond)
+		}
+	}
+}
+
 func FuzzTake(f *testing.F) {
 	f.Add(`{"version":3,"full":true,"servers":[{"id":"a","addr":"x","cell":3,"state":"SERVING","started_ms":9e99}]}`)
 	f.Add(`{"version":-1,"servers":[[],{},1,{"id":{}}]}`)
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -89,6 +89,7 @@
 	opened int
 	lines  []*line
 	slack  eventloop.Micros // before it answers a release
+	after  func()           // runs behind that answer
 }
 
 type line struct {
@@ -146,7 +147,12 @@
 	l.h.heads = append(l.h.heads, l.head)
 	l.h.bodies = append(l.h.bodies, string(l.body))
 	if l.head.Method == "DELETE" {
-		l.h.loop.After(l.h.slack, func() { l.answer(204, "") })
+		l.h.loop.After(l.h.slack, func() {
+			l.answer(204, "")
+			if l.h.after != nil {
+				l.h.after()
+			}
+		})
 		return nil
 	}
 	l.h.serve(l)
