Discovery is heard without descriptors, starts count from their news, repeats leave in their time

Causes: (1) a watch was dialled like an attempt, and the configuration read like any file, so both failed while clients held all descriptors; a descriptor that was let go of could go to a waiting client. Now subscriptions may use the ones kept back (six, as a dialled connection takes two for a moment), a new configuration is read with them and again for 3 s where that fails, and no client is served while any of them is missing. (2) discovery took the stamp of a start for its time. Now a stamp only tells that a host has started anew: where it has changed in service the start counts as now, on the loop's clock; the first list of a process goes by the clocks, as nothing else is known. (3) startAttempt gave an attempt that had waited for a release the whole time for a connection again; now what is left of it.

At the start, too, what may pass is tried again for 3 s: reading the configuration, the poller's descriptors, the address to listen on.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -22,6 +22,8 @@
 	Stream  Stream                                          // nil: none is expected
 	Most    int                                             // bytes of an answer that is not streamed
 	Spare   bool                                            // it lets go of something, and must not wait for attempts
+	// LeaveWithin, where it is above 0, is how long the call may take to leave, where that is less than the time for a connection.
+	LeaveWithin eventloop.Micros
 }
 
 // Stream reads the events of one streamed answer.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -130,9 +130,13 @@
 }
 
 func (e *Engine) call(h *host, c Call, allow eventloop.Micros, hear Callbacks) *Attempt {
+	within := e.limits.Connect
+	if c.LeaveWithin > 0 {
+		within = min(within, c.LeaveWithin)
+	}
 	l := &Attempt{engine: e, host: h, hear: hear, memory: scheduler.NoReport, answer: c.Answer, stream: c.Stream, most: c.Most,
-		isRelease: c.Spare, events: sse.Parser{Most: eventMost}, asks: c.Request, due: e.loop.Now() + allow, leave: e.loop.Now() + e.limits.Connect}
-	l.allow = e.loop.After(min(allow, e.limits.Connect), l.late)
+		isRelease: c.Spare, events: sse.Parser{Most: eventMost}, asks: c.Request, due: e.loop.Now() + allow, leave: e.loop.Now() + within}
+	l.allow = e.loop.After(min(allow, within), l.late)
 	if l.host == nil || l.host.addr == "" {
 		e.loop.Later(func() { l.end(Outcome{How: scheduler.Unreachable, Why: "the host has no address"}, false) })
 		return l
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -31,14 +31,17 @@
 	send()
 }
 
-// startAttempt hands the attempt to the network. The time that it may take is what was left when it was ordered.
+// startAttempt hands the attempt to the network. The times that it may take, and may take to leave, count from when it was ordered: whether
+// it may still be sent, as a repeat in its window, was looked at then.
 func (d *Dispatcher) startAttempt(r *request, no scheduler.AttemptNo, allow eventloop.Micros) {
 	hear := engine.Callbacks{
 		Event: func(data []byte) { d.streamEvent(r, no, data) },
 		Ended: func(o engine.Outcome) { d.attemptEnded(r, no, o) },
 	}
-	out := upstream.Request{ID: r.client.ID, Target: r.client.Target, Fields: r.client.Fields, Body: r.client.Body}
-	allow = max(allow-(d.loop.Now()-r.sentAt), 0)
+	waited := d.loop.Now() - r.sentAt
+	out := upstream.Request{ID: r.client.ID, Target: r.client.Target, Fields: r.client.Fields, Body: r.client.Body,
+		LeaveWithin: max(d.settings.Connect-waited, 1)}
+	allow = max(allow-waited, 0)
 	if r.prefill {
 		r.attempt = d.upstream.Prefill(r.host, out, allow, hear)
 	} else {
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -38,7 +38,8 @@
 	Zone, Kind string
 	Cell       scheduler.CellID
 	Condition  scheduler.Condition
-	Started    scheduler.Micros // 0: long ago
+	Started    scheduler.Micros // on this process's clock; 0: long ago
+	stamp      int64            // when it started by the clock of whoever listed it, in milliseconds
 }
 
 // Watch keeps the list.
@@ -51,6 +52,7 @@
 	news    func(entries []Entry, whole bool)
 	log     func(line string)
 	forgot  eventloop.Micros
+	speaks  bool   // discovery has told a list since this process began
 	Heard   uint64 // lists and changes
 }
 
@@ -59,6 +61,7 @@
 	gone eventloop.Micros // since when it is not listed; 0: it is
 	// As the newest list had it, and when.
 	started  scheduler.Micros
+	stamp    int64
 	retired  bool // it wants nothing new
 	listedAt eventloop.Micros
 }
@@ -88,6 +91,13 @@
 
 // Take takes one list, or the changes since the one before.
 func (w *Watch) Take(line []byte) error {
+	err := w.TakeKnown(line)
+	w.speaks = w.speaks || err == nil
+	return err
+}
+
+// TakeKnown takes a list that discovery told to an earlier process.
+func (w *Watch) TakeKnown(line []byte) error {
 	list := gjson.ParseBytes(line)
 	if !gjson.ValidBytes(line) || !list.Get("servers").IsArray() {
 		w.version = 0 // what it said is not known: the whole list is asked for
@@ -101,12 +111,14 @@
 	}
 	var entries []Entry
 	now := w.loop.Now()
+	ahead := w.clockAhead(list, now)
 	for i, s := range list.Get("servers").Array() {
 		e, err := w.entry(s, now)
 		if err != nil { // one that can't be read must not cost the others
 			w.log(fmt.Sprintf("discovery: entry %d of version %d: %v; it is passed over", i, version, err))
 			continue
 		}
+		e.Started = w.startedAt(&e, now, ahead)
 		w.keepNewest(&e, version, now)
 		entries = append(entries, e)
 	}
@@ -128,13 +140,38 @@
 func (w *Watch) keepNewest(e *Entry, version uint64, now eventloop.Micros) {
 	n := w.numbers[e.ID]
 	if version < w.newest && now-n.listedAt < newestKept {
-		if n.retired && e.Started <= n.started {
+		if n.retired && e.stamp <= n.stamp {
 			e.Condition = scheduler.Draining
 		}
-		e.Started = max(e.Started, n.started)
+		e.Started = n.started
 		return
 	}
-	n.started, n.retired, n.listedAt = e.Started, e.Condition != scheduler.Ready, now
+	n.started, n.stamp, n.retired, n.listedAt = e.Started, e.stamp, e.Condition != scheduler.Ready, now
+}
+
+// startedAt is when a host started, on this process's clock. Wall clocks may be stepped, so a stamp is only compared with the one before: where
+// it has changed in service, the host has started since, and counts as started now, however old the stamp looks. What the first list
+// names is as old as the clocks say, as nothing else is known of it.
+func (w *Watch) startedAt(e *Entry, now eventloop.Micros, ahead eventloop.Micros) scheduler.Micros {
+	n := w.numbers[e.ID]
+	switch {
+	case e.stamp <= 0:
+		return 0
+	case e.stamp == n.stamp:
+		return n.started
+	case w.speaks:
+		return now
+	}
+	return max(scheduler.Micros(min(e.stamp, math.MaxInt64/2000))*eventloop.Millisecond-ahead, 1)
+}
+
+// clockAhead is by how much the clock of a list is ahead of this process's, as far as a start in the future shows it.
+func (w *Watch) clockAhead(list gjson.Result, now eventloop.Micros) (ahead eventloop.Micros) {
+	for _, s := range list.Get("servers").Array() {
+		stamp := min(s.Get("started_ms").Int(), math.MaxInt64/2000)
+		ahead = max(ahead, eventloop.Micros(stamp)*eventloop.Millisecond-now)
+	}
+	return ahead
 }
 
 func (w *Watch) entry(s gjson.Result, now eventloop.Micros) (e Entry, err error) {
@@ -153,9 +190,7 @@
 		condition = scheduler.Draining
 	}
 	e.Condition = condition
-	if ms := s.Get("started_ms").Int(); ms > 0 {
-		e.Started = scheduler.Micros(min(ms, math.MaxInt64/2000)) * eventloop.Millisecond
-	}
+	e.stamp = s.Get("started_ms").Int()
 	e.ID = w.Number(e.Name)
 	n := w.numbers[e.ID]
 	if n.gone = 0; condition == scheduler.Gone {
--- a/internal/platform/dispatcher.go
+++ b/internal/platform/dispatcher.go
@@ -83,7 +83,7 @@
 	d.discovery = discovery.New(loop, config.Seed, config.Discovery, d.updateHosts, warn)
 	d.module = scheduler.Start(loop.Now(), config.Seed, place, d)
 	if len(config.Known) > 0 {
-		if err := d.discovery.Take(config.Known); err != nil {
+		if err := d.discovery.TakeKnown(config.Known); err != nil {
 			config.Log.Warn().Err(err).Msg("the known list is not used")
 		}
 	}
--- a/internal/platform/launch/run.go
+++ b/internal/platform/launch/run.go
@@ -37,6 +37,7 @@
 	listener   eventloop.Listener // nil until it listens
 	leaving    bool
 	ended      chan error // what it ends with
+	rereads    chan int   // a new configuration is read again, after so many tries
 }
 
 // Run serves until the platform ends it.
@@ -44,13 +45,21 @@
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
-	env, err := Read(getenv)
+	var env *Environment
+	err := retry(func() (err error) {
+		env, err = Read(getenv)
+		return err
+	})
 	if err != nil {
 		return err
 	}
 	env.limitRuntime()
-	p := &process{log: log.With().Str("dispatcher", env.Name).Logger(), getenv: getenv, ended: make(chan error, 1)}
-	if p.loop, err = newLoop(env); err != nil {
+	p := &process{log: log.With().Str("dispatcher", env.Name).Logger(), getenv: getenv, ended: make(chan error, 1), rereads: make(chan int, 1)}
+	err = retry(func() (err error) {
+		p.loop, err = newLoop(env)
+		return err
+	})
+	if err != nil {
 		return err
 	}
 	defer p.loop.Stop()
@@ -60,6 +69,8 @@
 		select {
 		case s := <-signals:
 			p.signalled(s)
+		case tries := <-p.rereads:
+			p.reload(tries)
 		case err := <-p.ended:
 			return err
 		}
@@ -82,17 +93,23 @@
 	config := env.Config
 	config.Log = p.log
 	p.dispatcher = platform.Start(p.loop, config)
-	p.dispatcher.WhenInformed(func() { p.listen(env.Listen) })
+	p.dispatcher.WhenInformed(func() { p.listen(env.Listen, p.loop.Now()) })
 	p.loop.After(summaryEvery, p.logSummary)
 }
 
-func (p *process) listen(address string) {
+// listen tries for a while, as what is wanting may be there a moment later.
+func (p *process) listen(address string, since eventloop.Micros) {
 	if p.leaving {
 		return
 	}
 	var err error
 	if p.listener, err = p.loop.Listen(address, p.dispatcher.Server().Accept); err != nil {
-		p.end(err)
+		p.listener = nil
+		if !transient(err) || p.loop.Now()-since > startPatience {
+			p.end(err)
+			return
+		}
+		p.loop.After(startPause, func() { p.listen(address, since) })
 		return
 	}
 	p.log.Info().Str("listen", address).Msg("serving")
@@ -108,15 +125,32 @@
 
 func (p *process) signalled(s os.Signal) {
 	if s == syscall.SIGHUP {
-		p.reload()
+		p.reload(0)
 		return
 	}
 	p.loop.Post(p.leave)
 }
 
-// reload takes discovery's address from the configuration as it is now.
-func (p *process) reload() {
-	env, err := Read(p.getenv)
+// reload takes discovery's address from the configuration as it is now. One that can't be read for the moment is read again: without it
+// nothing more would be heard of drains once the old address falls silent.
+func (p *process) reload(tries int) {
+	var env *Environment
+	err := p.loop.WithDescriptor(func() (err error) {
+		env, err = Read(p.getenv)
+		return err
+	})
+	if transient(err) && tries < maxReloadTries {
+		p.log.Warn().Err(err).Int("tries", tries+1).Msg("the configuration can't be read for the moment")
+		p.loop.Post(func() {
+			p.loop.After(reloadPause, func() {
+				select {
+				case p.rereads <- tries + 1:
+				default: // another will be read anyway
+				}
+			})
+		})
+		return
+	}
 	if err != nil {
 		p.log.Error().Err(err).Msg("the configuration is not taken; the one before stands")
 		return
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -25,6 +25,8 @@
 	ID, Target string
 	Fields     []string // name and value in turn; they pass on unchanged
 	Body       []byte
+	// LeaveWithin is how long the request may take to leave; 0: the time for a connection.
+	LeaveWithin eventloop.Micros
 }
 
 // Client makes the attempts and releases of one dispatcher.
@@ -47,12 +49,12 @@
 
 // Prefill sends a prompt to be read. It does not call back before it has returned.
 func (l *Client) Prefill(id scheduler.HostID, r Request, allow eventloop.Micros, hear engine.Callbacks) *engine.Attempt {
-	return l.Call(id, engine.Call{Request: r.to, Answer: prefillOutcome, Most: maxAnswer}, allow, hear)
+	return l.Call(id, engine.Call{Request: r.to, Answer: prefillOutcome, Most: maxAnswer, LeaveWithin: r.LeaveWithin}, allow, hear)
 }
 
 // Decode sends what is answered with a stream. It does not call back before it has returned.
 func (l *Client) Decode(id scheduler.HostID, r Request, allow eventloop.Micros, hear engine.Callbacks) *engine.Attempt {
-	return l.Call(id, engine.Call{Request: r.to, Answer: outcome, Stream: &events{}, Most: maxAnswer}, allow, hear)
+	return l.Call(id, engine.Call{Request: r.to, Answer: outcome, Stream: &events{}, Most: maxAnswer, LeaveWithin: r.LeaveWithin}, allow, hear)
 }
 
 func (r Request) to(addr string, left eventloop.Micros) []byte {
--- a/internal/sockets/listen.go
+++ b/internal/sockets/listen.go
@@ -70,6 +70,10 @@
 				continue
 			}
 		}
+		if !own.l.spares.complete() { // one that was let go of for something else must not go to a client
+			own.l.refuse(raw)
+			continue
+		}
 		own.l.post(func() {
 			c := &conn{l: own.l, accepted: true}
 			c.h = accept(c)
--- a/internal/sockets/loop.go
+++ b/internal/sockets/loop.go
@@ -79,6 +79,7 @@
 		return nil, fmt.Errorf("poller not started: %w", err)
 	}
 	if err := l.startRounds(); err != nil {
+		l.engine.Stop()
 		return nil, err
 	}
 	l.spares = newSpares()
--- a/internal/sockets/spares.go
+++ b/internal/sockets/spares.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// spareMost is how many descriptors are kept back: for letting go of what hosts hold, and for telling clients that none is left.
-const spareMost = 4
+// spareMost is how many descriptors are kept back: for the list of hosts, for letting go of what hosts hold, and for telling clients that
+// none is left. A connection that is dialled takes two for a moment, as nbio duplicates its descriptor.
+const spareMost = 6
 
 // spares hold descriptors that are given up when something that must not wait finds none left, and are taken again once there are
 // some. They are used by the loop and by the goroutines that accept.
@@ -62,6 +63,22 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
+// complete tells whether all are held, once those are taken again that can be had.
+func (s *spares) complete() bool {
+	s.fill()
+	return s.left() == spareMost
+}
+
+// WithDescriptor runs f, and again with descriptors that are kept back where it fails for want of one. It may be called from anywhere.
+func (l *Loop) WithDescriptor(f func() error) error {
+	defer l.spares.fill()
+	for {
+		if err := f(); !noDescriptors(err) || !l.spares.take() {
+			return err
+		}
+	}
+}
+
 // left is how many are held.
 func (s *spares) left() int {
 	s.mu.Lock()
@@ -82,11 +99,11 @@
 		defer own.resetDeadline(ln)
 	}
 	raw, err := own.ln.Accept()
-	s.fill()
 	if err != nil {
+		s.fill()
 		return nil, !noDescriptors(err)
 	}
-	if s.left() == spareMost {
+	if s.complete() {
 		return raw, true
 	}
 	own.l.refuse(raw)
--- a/internal/subscribe/subscribe.go
+++ b/internal/subscribe/subscribe.go
@@ -84,7 +84,7 @@
 	}
 	s := &subscription{c: c, parser: http1.Parser{Response: true, Bounds: http1.Usual}, events: sse.Parser{Most: listMost}}
 	c.current = s
-	s.conn = c.loop.Dial(c.addr, connectWithin, s)
+	s.conn = c.loop.DialSpare(c.addr, connectWithin, s) // news are owed also while clients hold all descriptors
 	if c.Answer > 0 {
 		s.quiet.For(c.loop, c.Answer, s.silent)
 	}
