--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"plumspindle/internal/eventloop"
+	"plumspindle/internal/sse"
 )
 
 // TestRepeatAfterALongRelease: a repeat that waits for a release and then for a connection does not arrive after its window.
@@ -50,3 +51,63 @@
 	}
 	r.quiet()
 }
+
+// TestStreamWithoutFraming: a stream that goes on until its connection ends is whole only where its last event came; one that broke off is
+// never ended with the last chunk.
+func TestStreamWithoutFraming(t *testing.T) {
+	for name, test := range map[string]struct {
+		events []string
+		end    func(eventloop.Conn)
+		whole  bool
+	}{
+		"whole":                   {[]string{word, stop, "[DONE]"}, eventloop.Conn.Close, true},
+		"reset":                   {[]string{word}, eventloop.Conn.Abort, false},
+		"closed before its end":   {[]string{word, stop}, eventloop.Conn.Close, false},
+		"reset behind its end":    {[]string{word, stop, "[DONE]"}, eventloop.Conn.Abort, true},
+		"nothing and then closed": {nil, eventloop.Conn.Close, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 256, fleet...)
+			all(r.writers(), func(l *line) {
+				l.conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"))
+				for _, e := range test.events {
+					l.conn.Write(sse.Append(nil, []byte(e)))
+				}
+				l.h.loop.After(50*eventloop.Millisecond, func() { test.end(l.conn) })
+			})
+			c := r.ask("post")
+			r.until(5*eventloop.Second, "the end", func() bool { return c.closed || len(c.finals) > 0 })
+			r.w.Run(100 * eventloop.Millisecond)
+			if whole := len(c.finals) == 1 && c.finals[0] == 200; whole != test.whole {
+				t.Errorf("the client was told that it is whole: %v, with %d events", whole, len(c.got))
+			}
+			r.quiet()
+		})
+	}
+}
+
+// TestUnusedConnectionAtTheEnd: a connection that was opened before the shutdown, and brings its first request only when the process has
+// nothing else to do any more, is answered or closed unread, whatever the moment.
+func TestUnusedConnectionAtTheEnd(t *testing.T) {
+	for after := drainTime; after < drainTime+2*eventloop.Second; after += 20 * eventloop.Millisecond {
+		r := newRig(t, 256, fleet...)
+		c := r.raw("")
+		r.w.Run(10 * eventloop.Millisecond)
+		ended := r.shutDown()
+		r.far.After(after, func() {
+			if !c.closed {
+				c.conn.Write([]byte(r.request("explain")))
+			}
+		})
+		clean := true
+		r.w.Watch = func() {
+			if *ended && r.x.Server().Open() > 0 { // the process ends, and resets what is open
+				clean = false
+			}
+		}
+		r.until(10*eventloop.Second, "the end", func() bool { return *ended })
+		if !clean {
+			t.Errorf("%d ms after the signal: it ended with an open connection", after/eventloop.Millisecond)
+		}
+	}
+}
--- a/internal/platform/server/server.go
+++ b/internal/platform/server/server.go
@@ -103,6 +103,9 @@
 // Connections is how many there are, with those that are being closed.
 func (s *Server) Connections() int { return len(s.connections) }
 
+// Open is how many of them are not being closed.
+func (s *Server) Open() int { return s.open }
+
 // Active is how many connections bring a request or wait for an answer's end.
 func (s *Server) Active() int { return s.inState(reading) + s.inState(answering) }
 
