Logs can't hold the program up, unframed streams end with their last event, idle connections are closed

Causes: (1) zerolog wrote to standard error from the event loop; a full pipe blocked it, and a closed one ended the process by SIGPIPE. Lines now go through zerolog's diode to a goroutine of their own, the oldest of 4,096 dropped and counted; SIGPIPE is ignored. All commands have it, serve and host among them. (2) connection.Closed took the end of a connection for the end of any body without framing; a streamed one now needs its last event. (3) Shutdown leaves connections without a first request open and the process ended with them; they are now closed by halves once all else is quiet, unless something has come.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -32,6 +32,8 @@
 	Event(data []byte) (pass bool, err error)
 	// Ended is what the stream came to when its body was complete.
 	Ended() Outcome
+	// Whole tells whether its last event has come; a body that goes on until its connection ends shows no other end.
+	Whole() bool
 	// Broke is what it came to where it ended in a way it should not have.
 	Broke(how scheduler.Ending, why string) Outcome
 }
--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -109,6 +109,8 @@
 	return c.Broke(scheduler.Errored, "the stream ended without its last event")
 }
 
+func (c *chunks) Whole() bool { return c.done }
+
 // Broke: where the writer had already told how the answer ended, nothing of it is missing: it is complete.
 func (c *chunks) Broke(how scheduler.Ending, why string) Outcome {
 	if c.finished {
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -22,6 +22,7 @@
 	up        bool
 	down      bool
 	last      bool // the host closes after this answer
+	ended     bool // an answer without any other end may be complete with the connection's
 	idleTimer eventloop.Timer
 	idleNo    uint64 // in the order in which connections fell idle
 	carried   int    // attempts before this one
@@ -105,8 +106,8 @@
 		l.end(Outcome{How: scheduler.Unreachable, Why: cause.Error()}, false)
 		return
 	}
-	l.left = true
-	err := t.parser.Close(t) // an answer that goes on until the close may be complete with it
+	l.left, t.ended = true, true
+	err := t.parser.Close(t)
 	if t.attempt == nil {
 		return
 	}
@@ -151,10 +152,13 @@
 		return errUnasked
 	}
 	var o Outcome
-	if l.stream != nil && l.streams() {
-		o = l.stream.Ended()
-	} else {
+	switch {
+	case l.stream == nil || !l.streams():
 		o = l.answer(l.head, l.body)
+	case t.ended && !l.stream.Whole():
+		o = l.stream.Broke(scheduler.Dropped, "the connection ended before the stream's last event")
+	default:
+		o = l.stream.Ended()
 	}
 	t.attempt, l.connection, l.left = nil, nil, true
 	t.conn.Pause(false)
--- a/internal/platform/server/server.go
+++ b/internal/platform/server/server.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// CloseIdle closes all connections without a request, unless something has just come on one.
+func (s *Server) CloseIdle() {
+	for e := s.idle.Front(); e != nil; {
+		c := e.Value.(*connection)
+		e = e.Next()
+		c.idleTimedOut()
+	}
+}
+
 // Connections is how many there are, with those that are being closed.
 func (s *Server) Connections() int { return len(s.connections) }
 
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -25,15 +25,20 @@
 	})
 }
 
-// awaitEnd looks again and again until nothing is owed any more: no answer, no release, and no byte of an answer that a slow client
-// has not taken.
+// awaitEnd looks again and again until nothing is owed any more: no answer, no release, no byte of an answer that a slow client has not
+// taken, and no connection on which a request may be on its way.
 func (d *Dispatcher) awaitEnd(done func()) {
 	d.loop.After(shutdownPoll, func() {
 		now := d.loop.Now()
 		if len(d.requests) > 0 || d.server.Active() > 0 || d.server.Unsent() > 0 {
 			d.lastActive = now
 		}
-		if d.lastActive == now || d.server.Connections() > 0 && now-d.lastActive < lastAnswerTime {
+		quiet := now-d.lastActive >= lastAnswerTime
+		if quiet && d.server.Open() > 0 {
+			d.server.CloseIdle()
+			d.lastActive = now
+		}
+		if d.lastActive == now || d.server.Connections() > 0 && !quiet {
 			d.awaitEnd(done)
 			return
 		}
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -125,6 +125,8 @@
 	return engine.Outcome{How: scheduler.Completed, Note: e.kept, Why: "streamed"}
 }
 
+func (e *events) Whole() bool { return e.done }
+
 // Broke: what has no last chunk is not whole, whatever its events say, as the client must not be told that it is.
 func (e *events) Broke(how scheduler.Ending, why string) engine.Outcome {
 	return engine.Outcome{How: how, Why: why}
--- /dev/null
+++ b/internal/program/logs.go
@@ -0,0 +1,41 @@
+package program
+
+import (
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog/diode"
+)
+
+const (
+	logLines     = 4096        // that may wait to be written; past it the oldest are dropped
+	logFlushTime = time.Second // for those that wait when the program ends
+)
+
+// logWriter writes log lines from a goroutine of its own: whoever reads them must not be able to hold the program up.
+type logWriter struct{ diode.Writer }
+
+// newLogWriter also keeps the program alive where the reader of its logs is gone, as by itself it would die of SIGPIPE.
+func newLogWriter(out io.Writer) logWriter {
+	signal.Ignore(syscall.SIGPIPE)
+	missed := func(lines int) {
+		fmt.Fprintf(out, "{\"level\":\"error\",\"message\":\"%d lines of the log were dropped\"}\n", lines)
+	}
+	return logWriter{diode.NewWriter(struct{ io.Writer }{out}, logLines, 0, missed)} // without the Close that out may have
+}
+
+// flush writes what waits, for as long as that may take.
+func (w logWriter) flush() {
+	flushed := make(chan struct{})
+	go func() {
+		_ = w.Close()
+		close(flushed)
+	}()
+	select {
+	case <-flushed:
+	case <-time.After(logFlushTime):
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -95,9 +95,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	level, _ := zerolog.ParseLevel(c.LogLevel)
-	var to io.Writer = errOut
+	logs := newLogWriter(errOut)
+	var to io.Writer = logs
 	if f, ok := errOut.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
-		to = zerolog.ConsoleWriter{Out: errOut, TimeFormat: time.TimeOnly}
+		to = zerolog.ConsoleWriter{Out: logs, TimeFormat: time.TimeOnly}
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
 	s := &surroundings{ctx, out, errOut, zerolog.New(to).Level(level).With().Timestamp().Logger()}
@@ -105,7 +106,9 @@
 	if len(words) > 1 && words[0] == "tenant" {
 		parsed.Bind(kongPath(words[1]), &c.Tenant)
 	}
-	if err := parsed.Run(s); err != nil {
+	err = parsed.Run(s)
+	logs.flush()
+	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return 1
 	}
