What is held is released where its call sits in a silent connection; a listener drains to the end

Causes: (1) a state's lease ended once its call had left this process, though it may sit in a socket whose other side is silent; an end of such a call renewed the lease. The system is asked now (SIOCOUTQ) whether the other side has confirmed it: one that is not confirmed 30 ms after the lease's end is given up, as one that may have run, and what is held is released; the scheduler drops the state then (note 1 with Dropped). (2) the listener's deadline at its close could pass before anything was accepted: connections that wait are looked for and accepted, 100 times at most. (3) sse.Append wrote one data line whatever the data.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -53,6 +53,7 @@
 	allow      eventloop.Timer
 	ended      bool
 	left       bool // its last byte had, when it ended
+	pending    bool // and was not known to have reached its host then
 
 	started   bool
 	slow      bool             // its client lags, and it is not read
@@ -90,11 +91,19 @@
 	return l.connection == nil || !l.connection.sent || l.connection.conn.Unsent() > 0
 }
 
+// Undelivered tells that the attempt's last byte is not known to have reached its host.
+func (l *Attempt) Undelivered() bool {
+	if l.ended {
+		return l.pending
+	}
+	return l.connection == nil || l.Unsent() || l.connection.conn.Undelivered()
+}
+
 // Cancel quits waiting for an attempt: the connection is closed, which is how a host is told. Nothing more is heard
 // of it.
 func (l *Attempt) Cancel() {
 	if !l.ended {
-		l.left = !l.Unsent()
+		l.left, l.pending = !l.Unsent(), l.Undelivered()
 		l.ended = true
 		l.allow.Stop()
 		l.drop()
@@ -148,8 +157,10 @@
 	if l.ended {
 		return
 	}
+	l.pending = l.connection != nil && l.Undelivered()
 	l.left = l.left || !l.Unsent()
 	l.ended = true
+	o.Undelivered = l.pending
 	l.allow.Stop()
 	if broken {
 		o.Cut = true
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -21,8 +21,10 @@
 	Memory float64 // share of the host's memory that is held, or scheduler.NoReport
 	State  string  // ReadDone: where the state lies, as the host put it
 	Cut    bool    // the connection was closed from here with the attempt on it
-	Bad    bool    // the host says that what it was sent is no good: no other would do better
-	Why    string  // for logs: which line of the table in docs/legs.md
+	// Undelivered: the attempt's last byte was not known to have reached its host when it ended.
+	Undelivered bool
+	Bad         bool   // the host says that what it was sent is no good: no other would do better
+	Why         string // for logs: which line of the table in docs/legs.md
 }
 
 // refusals are the answers by which a host states that it has not run the attempt. Only these, said in words and with
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -62,6 +62,8 @@
 	Write(b []byte)
 	// Unsent is how many written bytes the network has not taken yet.
 	Unsent() int
+	// Undelivered tells whether written bytes are known not to have reached the other side's machine yet, or not to have been confirmed.
+	Undelivered() bool
 	// Quiet tells whether the other side is still there and has sent nothing that is not handed over yet. It asks the network, as that
 	// news may still be on its way up.
 	Quiet() bool
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -104,7 +104,7 @@
 	r.attempt, r.closing = nil, false
 	d.Outcomes[o.How]++
 	d.logOutcome(r, no, o)
-	d.noteHeld(r, o.How)
+	d.noteHeld(r, o)
 	if r.started && !r.answered {
 		d.endStream(r, o.How)
 	}
@@ -124,8 +124,8 @@
 }
 
 // noteHeld notes what a host may hold for the request after an attempt.
-func (d *Dispatcher) noteHeld(r *request, how scheduler.Ending) {
-	switch how {
+func (d *Dispatcher) noteHeld(r *request, o engine.Outcome) {
+	switch o.How {
 	case scheduler.Unreachable, scheduler.NeverSent: // and what is held has waited on
 	case scheduler.Full:
 		if r.held { // the attempt that was to take it was out until now
@@ -133,10 +133,13 @@
 		}
 	default:
 		// Also a prefill attempt that broke or was given up may have ended well; a decode attempt that did may have left what it was to take.
-		if r.prefill {
+		switch {
+		case r.prefill:
 			r.holder = r.host
-		}
-		if r.prefill || r.held {
+			d.hold(r)
+		case r.held && o.Undelivered: // it was not out, and what is held has waited on
+			d.awaitLeaseEnd(r)
+		case r.held:
 			d.hold(r)
 		}
 	}
@@ -173,6 +176,7 @@
 	attempt, no := r.attempt, r.attempts-1
 	if attempt != nil {
 		attempt.Cancel()
+		o.Undelivered = attempt.Undelivered()
 	}
 	r.deferred = nil
 	d.loop.Later(func() {
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -122,8 +122,7 @@
 				r.ask("explain")
 			}
 			r.w.Run(eventloop.Second)
-			for _, h := range r.writers()[1:] {
-				h.ln.Close()
+			for _, h := range r.writers()[1:] { // only until the call has left
 				r.agent.tell(false, h.entry("DELETED"))
 			}
 			silent := r.writers()[0]
@@ -138,6 +137,11 @@
 			})
 			c := r.ask(class)
 			before := r.releases()
+			r.until(eventloop.Second, "the read", func() bool { return read > 0 })
+			r.w.Run(100 * eventloop.Millisecond)
+			for _, h := range r.writers()[1:] {
+				r.agent.tell(false, h.entry("SERVING"))
+			}
 			r.until(eventloop.Second, "the release", func() bool { return r.releases() > before })
 			if took := r.w.Now() - read; took > 500*eventloop.Millisecond {
 				t.Errorf("released after %d ms", took/eventloop.Millisecond)
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -38,6 +38,8 @@
 	held      bool
 	holder    scheduler.HostID // the likely one
 	lease     eventloop.Wait
+	leaseEnd  eventloop.Micros
+	confirms  bool   // whether a call has reached its host is looked at once more
 	releasing bool   // it is being released
 	deferred  func() // the attempt that waits for it, as the release would take what that attempt leaves
 }
--- a/internal/platform/state.go
+++ b/internal/platform/state.go
@@ -10,21 +10,37 @@
 // does not get it any more: to the rule the state waits there, and its release needs a part too.
 const leasePart = 0.6
 
+// confirmTime is how long the other side's machine may take to confirm what has just left.
+const confirmTime = 30 * eventloop.Millisecond
+
 // hold notes that a host may hold something for the request from now on, for as long as a state may wait.
 func (d *Dispatcher) hold(r *request) {
 	r.held = true
-	r.lease.For(d.loop, eventloop.Micros(leasePart*float64(d.settings.ReleaseWithin)), func() { d.leaseExpired(r) })
+	r.leaseEnd = d.loop.Now() + eventloop.Micros(leasePart*float64(d.settings.ReleaseWithin))
+	d.awaitLeaseEnd(r)
+}
+
+func (d *Dispatcher) awaitLeaseEnd(r *request) {
+	r.confirms = false
+	r.lease.For(d.loop, max(r.leaseEnd-d.loop.Now(), 0), func() { d.leaseExpired(r) })
 }
 
-// leaseExpired ends the wait of what is held, as its time runs on while connections fail to come up. An attempt that has left by now
-// takes it; one that has not is taken back, and to a decode attempt its state is gone.
+// leaseExpired ends the wait of what is held, as its time runs on while connections fail to come up or are silent. An attempt that has
+// reached its host by now takes it; one that has not is taken back, and to a decode attempt its state is gone.
 func (d *Dispatcher) leaseExpired(r *request) {
 	attempt, no := r.attempt, r.attempts-1
-	if !r.held || r.releasing || attempt == nil || !attempt.Unsent() {
+	if !r.held || r.releasing || r.closing || attempt == nil || !attempt.Undelivered() {
 		return
 	}
 	outcome := engine.Outcome{How: scheduler.Full, Note: 1, Memory: scheduler.NoReport, Why: "no connection while its state may wait"}
-	if r.prefill {
+	switch {
+	case !attempt.Unsent() && !r.confirms: // it may have left only now
+		r.confirms = true
+		r.lease.For(d.loop, confirmTime, func() { d.leaseExpired(r) })
+		return
+	case !attempt.Unsent(): // it may arrive, or have arrived, all the same
+		outcome.How, outcome.Cut, outcome.Why = scheduler.Dropped, true, "its connection is silent while its state may wait"
+	case r.prefill:
 		outcome.How, outcome.Note = scheduler.NeverSent, 0
 	}
 	attempt.Cancel()
--- a/internal/sockets/conn.go
+++ b/internal/sockets/conn.go
@@ -298,6 +298,17 @@
 // Unsent implements eventloop.Conn.
 func (c *conn) Unsent() int { return len(c.out) }
 
+// Undelivered implements eventloop.Conn: it asks the system for bytes that the other side has not acknowledged.
+func (c *conn) Undelivered() bool {
+	waits := 0
+	c.socket(func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			waits = n
+		}
+	})
+	return len(c.out) > 0 || waits > 0
+}
+
 // Pause implements eventloop.Conn.
 func (c *conn) Pause(on bool) {
 	if c.paused == on {
--- a/internal/sockets/listen.go
+++ b/internal/sockets/listen.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"plumspindle/internal/eventloop"
 )
 
@@ -15,6 +17,7 @@
 	acceptPause = 20 * time.Millisecond // after an accept that failed for want of descriptors
 	busyFor     = 3 * time.Millisecond  // for what one that is turned away has sent
 	backlogTime = 10 * time.Millisecond // for connections that wait to be accepted when the listener is closed
+	drainTries  = 100                   // in a row, while some wait all the same, as when the process is held up or has no descriptor
 )
 
 // listener implements eventloop.Listener.
@@ -22,6 +25,7 @@
 	l       *Loop
 	ln      net.Listener
 	closing atomic.Bool // it accepts what waits, and no more
+	drains  int         // of the goroutine that accepts: how often it has drained
 }
 
 // Listen takes connections on a loopback address.
@@ -53,6 +57,9 @@
 			return
 		}
 		if own.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			if own.backlogWaits() && own.drainAgain() { // the deadline was over before anything was accepted
+				continue
+			}
 			_ = own.ln.Close()
 			return
 		}
@@ -125,6 +132,29 @@
 	}
 }
 
+// backlogWaits tells whether a connection waits to be accepted.
+func (own *listener) backlogWaits() (waits bool) {
+	ln, ok := own.ln.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		n, err := poll(int(fd), unix.POLLIN)
+		waits = err == nil && n > 0
+	})
+	return waits
+}
+
+// drainAgain has the listener accept for a moment more, unless it has done so for too long.
+func (own *listener) drainAgain() bool {
+	own.drains++
+	return own.drains < drainTries && own.resetDeadline(own.ln.(*net.TCPListener)) == nil
+}
+
 // resetDeadline takes a deadline away, but for the one that closing sets.
 func (own *listener) resetDeadline(ln *net.TCPListener) error {
 	if !own.closing.Load() {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -84,9 +84,14 @@
 	return nil
 }
 
-// Append adds one event.
+// Append adds one event, each line of its data as a line of its own.
 func Append(b, data []byte) []byte {
-	b = append(b, "data: "...)
-	b = append(b, data...)
-	return append(b, "\n\n"...)
+	for more := true; more; {
+		var line []byte
+		line, data, more = bytes.Cut(data, []byte("\n"))
+		b = append(b, "data: "...)
+		b = append(b, line...)
+		b = append(b, '\n')
+	}
+	return append(b, '\n')
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -321,9 +321,10 @@
 }
 
 func (d *Dispatcher) afterWrite(g *request, w *host, how Ending, note int) {
-	if how == Full && note == 1 { // the writer is not to blame, and may be the only one
+	if note == 1 && (how == Full || how == Dropped) {
 		d.dropState(g)
-	} else {
+	}
+	if how != Full || note != 1 { // else the writer is not to blame, and may be the only one
 		g.tried = append(g.tried, w)
 	}
 	switch {
