One guard for sending, repeating, answering, closing and starting, with violations counted

The server counts connections by why they were closed, and reports one that it closes over a request that was read; rejections and failures carry the scheduler's reason. The summary line has all of it; debug logs have each request's states by its id.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -1,10 +1,9 @@
 package platform
 
 import (
-	"slices"
-
 	"plumspindle/internal/engine"
 	"plumspindle/internal/eventloop"
+	"plumspindle/internal/platform/guard"
 	"plumspindle/internal/platform/upstream"
 	"plumspindle/scheduler"
 )
@@ -34,13 +33,20 @@
 // startAttempt hands the attempt to the network. The times that it may take, and may take to leave, count from when it was ordered: whether
 // it may still be sent, as a repeat in its window, was looked at then.
 func (d *Dispatcher) startAttempt(r *request, no scheduler.AttemptNo, allow eventloop.Micros) {
+	host := d.guardHost(r)
+	if v := r.ledger.Send(d.loop.Now(), host); v != nil { // never within the module's own call
+		d.loop.Later(func() {
+			d.attemptEnded(r, no, engine.Outcome{How: scheduler.NeverSent, Memory: scheduler.NoReport, Why: "the guard: " + v.Error()})
+		})
+		return
+	}
 	hear := engine.Callbacks{
 		Event: func(data []byte) { d.streamEvent(r, no, data) },
 		Ended: func(o engine.Outcome) { d.attemptEnded(r, no, o) },
 	}
 	waited := d.loop.Now() - r.sentAt
 	out := upstream.Request{ID: r.client.ID, Target: r.client.Target, Fields: r.client.Fields, Body: r.client.Body,
-		LeaveWithin: max(d.settings.Connect-waited, 1)}
+		LeaveWithin: max(d.settings.Connect-waited, 1), OnLeave: func(told eventloop.Micros) { d.attemptLeaves(r, no, told) }}
 	allow = max(allow-waited, 0)
 	if r.prefill {
 		r.attempt = d.upstream.Prefill(r.host, out, allow, hear)
@@ -53,7 +59,7 @@
 // which was looked at when it was ordered.
 func (d *Dispatcher) afterRelease(r *request, no scheduler.AttemptNo, send func()) {
 	why := "the host is going"
-	if slices.Contains(d.ready, r.host) {
+	if d.wanted(r.host) {
 		if d.loop.Now()-r.sentAt <= d.settings.Connect {
 			send()
 			return
@@ -82,6 +88,7 @@
 func (d *Dispatcher) streamStarted(r *request, no scheduler.AttemptNo) {
 	r.started, r.held = true, false
 	r.lease.Over()
+	r.ledger.Used()
 	r.attempt.Started()
 	now := d.loop.Now()
 	if e := d.config.Log.Debug(); e.Enabled() {
@@ -102,6 +109,7 @@
 		return
 	}
 	r.attempt, r.closing = nil, false
+	r.ledger.Ended(!o.How.NeverRan())
 	d.Outcomes[o.How]++
 	d.logOutcome(r, no, o)
 	d.noteHeld(r, o)
@@ -118,7 +126,7 @@
 		return
 	}
 	e.Str("id", r.client.ID).Int("attempt", int(no)).Str("host", d.hosts[r.host].Name).Bool("prefill", r.prefill).Bool("started", r.started).
-		Int("outcome", int(o.How)).Int("note", o.Note).Float64("prompt", r.client.PromptTokens).Int64("took", int64(d.loop.Now()-r.sentAt)).
+		Int("outcome", int(o.How)).Int("note", o.Note).Bool("undelivered", o.Undelivered).Float64("prompt", r.client.PromptTokens).Int64("took", int64(d.loop.Now()-r.sentAt)).
 		Int64("waited", int64(r.sentAt-r.client.ReceivedAt)).Str("class", r.client.Class).Str("prefix", r.client.Prefix).
 		Str("why", o.Why).Msg("attempt ended")
 }
@@ -150,10 +158,12 @@
 	r.answered = true
 	if how == scheduler.Completed {
 		d.Completed++
+		r.ledger.Answered(d.loop.Now(), guard.Completed)
 		r.response.Complete()
 		return
 	}
 	d.Broken++
+	r.ledger.Answered(d.loop.Now(), guard.Broken)
 	r.response.Break()
 }
 
--- a/internal/platform/dispatcher.go
+++ b/internal/platform/dispatcher.go
@@ -11,6 +11,7 @@
 	"plumspindle/internal/engine"
 	"plumspindle/internal/eventloop"
 	"plumspindle/internal/platform/discovery"
+	"plumspindle/internal/platform/guard"
 	"plumspindle/internal/platform/server"
 	"plumspindle/internal/platform/upstream"
 	"plumspindle/internal/settings"
@@ -45,6 +46,7 @@
 type Counts struct {
 	Accepted, Completed, Broken, Rejected, Failed, ClientsGone, Attempts uint64
 	Outcomes                                                             [9]uint64 // by scheduler.Ending
+	Reasons                                                              [8]uint64 // of rejections and failures, by scheduler.Reason
 }
 
 // Dispatcher serves the clients of one process.
@@ -56,6 +58,7 @@
 	upstream     *upstream.Client
 	server       *server.Server
 	discovery    *discovery.Watch
+	guard        *guard.Guard
 	requests     map[scheduler.RequestID]*request
 	lastRequest  scheduler.RequestID
 	openIDs      map[string]bool
@@ -65,6 +68,8 @@
 	startedAt    eventloop.Micros
 	shuttingDown bool
 	lastActive   eventloop.Micros // while it is shutting down
+	// OnViolation, where it is set, is told what the guard reports.
+	OnViolation func(guard.Violation)
 	Counts
 }
 
@@ -76,10 +81,12 @@
 	place := t.Place
 	place.Idle /= 2 // connections are closed well before hosts do: what is written to one that is closed counts as lost
 	warn := func(line string) { config.Log.Warn().Msg(line) }
+	d.guard = d.newGuard(t.ReleaseWithin)
 	e := engine.New(loop, config.Name, "", upstreamLimits(t, config.Sockets, place.Idle))
 	d.upstream = upstream.New(loop, e, t.ReleaseWithin, func() []scheduler.HostID { return d.ready })
 	d.upstream.Log = warn
 	d.server = server.New(loop, clientLimits(config.Sockets, config.Memory), d)
+	d.server.OnUnansweredClose = d.unansweredClose
 	d.discovery = discovery.New(loop, config.Seed, config.Discovery, d.updateHosts, warn)
 	d.module = scheduler.Start(loop.Now(), config.Seed, place, d)
 	if len(config.Known) > 0 {
@@ -156,9 +163,11 @@
 	requests, attempts, held, _ := d.module.Open()
 	return fmt.Sprintf("requests %d, attempts %d, held %d; connections: clients %d, hosts %d; unsent %d at most, buffered %d; "+
 		"accepted %d, completed %d, broken %d, rejected %d, failed %d, clients gone %d, attempts %d, outcomes %v; "+
-		"releases %d in %d tries, late %d; bad requests %d, evicted %d, timed out %d; hosts ready %d, list heard %d",
+		"releases %d in %d tries, late %d; bad requests %d, evicted %d, timed out %d; hosts ready %d, list heard %d; "+
+		"closed %v; answered for %v; violations %d, refused sends %d",
 		requests, attempts, held, d.server.Connections(), d.upstream.Connections(), d.server.Unsent(), d.server.Buffered(),
 		d.Accepted, d.Completed, d.Broken, d.Rejected, d.Failed, d.ClientsGone, d.Attempts, d.Outcomes,
 		d.upstream.Releases, d.upstream.Tries, d.upstream.Late,
-		d.server.Rejected, d.server.Evicted, d.server.TimedOut, len(d.ready), d.discovery.Heard)
+		d.server.Rejected, d.server.Evicted, d.server.TimedOut, len(d.ready), d.discovery.Heard,
+		d.server.Closed, d.Reasons, d.guard.Violations(), d.module.Violations())
 }
--- a/internal/platform/hosts.go
+++ b/internal/platform/hosts.go
@@ -52,6 +52,12 @@
 	d.module.Listed(now, e.ID, scheduler.ZoneID(zone), scheduler.KindID(kind), e.Cell, e.Condition, min(e.Started, now))
 }
 
+// wanted tells whether a host wants new requests.
+func (d *Dispatcher) wanted(id scheduler.HostID) bool {
+	_, found := slices.BinarySearch(d.ready, id)
+	return found
+}
+
 func (d *Dispatcher) updateReady() {
 	d.ready = d.ready[:0]
 	for id, e := range d.hosts {
@@ -65,7 +71,7 @@
 // takeBackUnsent takes back what has not left yet to hosts that want nothing new: a connection that opens only now must not carry it.
 func (d *Dispatcher) takeBackUnsent() {
 	for _, r := range d.inOrder() {
-		if r.attempt != nil && r.attempt.Unsent() && !slices.Contains(d.ready, r.host) {
+		if r.attempt != nil && r.attempt.Unsent() && !d.wanted(r.host) {
 			d.takeBack(r, engine.Outcome{How: scheduler.Unreachable, Memory: scheduler.NoReport, Why: "the host is going"})
 		}
 	}
--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -1,12 +1,16 @@
 package platform
 
-import "plumspindle/scheduler"
+import (
+	"plumspindle/internal/platform/guard"
+	"plumspindle/scheduler"
+)
 
 // Reject implements scheduler.Orders: the final answer of a request that may come again.
 func (d *Dispatcher) Reject(id scheduler.RequestID, retryAfter scheduler.Micros) {
 	if r := d.requests[id]; r != nil && !r.answered {
 		r.answered = true
 		d.Rejected++
+		r.ledger.Answered(d.loop.Now(), guard.Rejected)
 		r.response.Reject(retryAfter)
 		d.afterAnswer(r, "rejected")
 	}
@@ -17,14 +21,22 @@
 	if r := d.requests[id]; r != nil && !r.answered {
 		r.answered = true
 		d.Failed++
+		r.ledger.Answered(d.loop.Now(), guard.Failed)
 		r.response.Fail()
 		d.afterAnswer(r, "failed")
 	}
 }
 
+// Explain implements scheduler.Explainer.
+func (d *Dispatcher) Explain(id scheduler.RequestID, why scheduler.Reason) {
+	if r := d.requests[id]; r != nil {
+		r.why = why
+	}
+}
+
 func (d *Dispatcher) afterAnswer(r *request, how string) {
-	d.config.Log.Debug().Str("id", r.client.ID).Str("class", r.client.Class).Str("final", how).Int("attempts", int(r.attempts)).
-		Int64("after", int64(d.loop.Now()-r.client.ReceivedAt)).Msg("answered")
+	d.Reasons[r.why]++
+	d.logState(r, how).Str("class", r.client.Class).Stringer("why", r.why).Int("attempts", int(r.attempts)).Msg("request")
 	d.loop.Later(func() { d.settle(r) })
 }
 
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -11,6 +11,7 @@
 
 	"plumspindle/internal/engine"
 	"plumspindle/internal/eventloop"
+	"plumspindle/internal/platform/guard"
 	"plumspindle/internal/platform/server"
 	"plumspindle/scheduler"
 )
@@ -21,9 +22,12 @@
 // request is what the dispatcher keeps of a client's request: what the module does not know, and nothing that it does.
 type request struct {
 	id       scheduler.RequestID
+	class    scheduler.ClassID
 	client   *server.Request
 	response *server.Response
 	answered bool // or nobody waits any more
+	why      scheduler.Reason
+	ledger   *guard.Request
 
 	// The attempt that is out.
 	attempts scheduler.AttemptNo // made so far
@@ -59,7 +63,8 @@
 	}
 	d.lastRequest++
 	d.Accepted++
-	r := &request{id: d.lastRequest, client: client, response: response}
+	r := &request{id: d.lastRequest, class: scheduler.ClassID(class), client: client, response: response, ledger: d.begin(client, scheduler.ClassID(class))}
+	d.logState(r, "accepted").Str("class", client.Class).Int64("allowed", int64(client.Timeout)).Msg("request")
 	d.requests[r.id] = r
 	d.openIDs[client.ID] = true
 	response.OnClientGone = func() { d.loop.Later(func() { d.clientGone(r) }) } // never within the module's own call
@@ -90,6 +95,8 @@
 	}
 	r.answered = true
 	d.ClientsGone++
+	r.ledger.ClientClosed(d.loop.Now())
+	d.logState(r, "its client left").Bool("started", r.started).Int("attempts", int(r.attempts)).Msg("request")
 	if r.started {
 		attempt, no := r.attempt, r.attempts-1
 		attempt.Cancel()
@@ -114,6 +121,7 @@
 		return
 	}
 	if r.answered {
+		r.ledger.Closed()
 		delete(d.requests, r.id)
 		delete(d.openIDs, r.client.ID)
 		d.recentIDs[0][r.client.ID] = true
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -9,6 +9,7 @@
 
 	"plumspindle/internal/eventloop"
 	"plumspindle/internal/http1"
+	"plumspindle/internal/platform/guard"
 	"plumspindle/internal/platform/server"
 	"plumspindle/internal/settings"
 	"plumspindle/internal/sse"
@@ -36,6 +37,8 @@
 	agent *agent
 	hosts []*host
 	asked int
+
+	violations []guard.Violation
 }
 
 func newRig(t *testing.T, sockets int, hosts ...string) *rig {
@@ -69,6 +72,7 @@
 		}
 		r.door, r.ln = ln.Addr(), ln
 	})
+	r.x.OnViolation = func(v guard.Violation) { r.violations = append(r.violations, v) }
 	r.w.Run(20 * eventloop.Millisecond)
 	return r
 }
@@ -372,6 +376,9 @@
 func (r *rig) quiet() {
 	r.t.Helper()
 	r.w.Run(eventloop.Second)
+	if r.x.guard.Violations() > 0 || r.x.module.Violations() > 0 {
+		r.t.Errorf("the guard counts violations: %s; %v", r.x.Summary(), r.violations)
+	}
 	gens, legs, _, _ := r.x.module.Open()
 	if len(r.x.requests) != 0 || gens != 0 || legs != 0 || r.x.server.Answering() != 0 {
 		r.t.Errorf("something is left: %s", r.x.Summary())
--- a/internal/platform/server/connection.go
+++ b/internal/platform/server/connection.go
@@ -66,16 +66,16 @@
 
 // closeIdle closes a connection without a request, unless something has come that was not handed over yet: a request that was read
 // must not meet a close.
-func (c *connection) closeIdle() bool {
+func (c *connection) closeIdle(why CloseReason) bool {
 	if !c.conn.CloseIfQuiet() {
 		return false
 	}
-	c.becomeClosing()
+	c.becomeClosing(why)
 	return true
 }
 
 func (c *connection) idleTimedOut() {
-	if !c.closeIdle() {
+	if !c.closeIdle(Idle) {
 		c.wait.For(c.server.loop, crossingPause, c.idleTimedOut)
 	}
 }
@@ -83,8 +83,14 @@
 // --- Closing ---
 
 // becomeClosing reads nothing more. What is written still goes out, for as long as the client takes any of it.
-func (c *connection) becomeClosing() {
+func (c *connection) becomeClosing(why CloseReason) {
 	c.leaveIdle()
+	if c.state != closing {
+		c.server.Closed[why]++
+		if why != ByClient {
+			c.unanswered(why)
+		}
+	}
 	c.dropAhead()
 	if c.state != closing {
 		c.state = closing
@@ -94,14 +100,14 @@
 }
 
 // close closes once all is sent.
-func (c *connection) close() {
-	c.becomeClosing()
+func (c *connection) close(why CloseReason) {
+	c.becomeClosing(why)
 	c.conn.Close()
 }
 
 // abort resets the connection. A request that is being answered is left, as by its client.
-func (c *connection) abort() {
-	c.becomeClosing()
+func (c *connection) abort(why CloseReason) {
+	c.becomeClosing(why)
 	if c.response != nil {
 		c.response.abandon()
 	}
@@ -110,7 +116,7 @@
 
 // Closed implements eventloop.Handler.
 func (c *connection) Closed(error) {
-	c.becomeClosing()
+	c.becomeClosing(ByClient)
 	c.wait.Over()
 	delete(c.server.connections, c)
 	c.dropRequest()
@@ -130,7 +136,7 @@
 	}
 	s.Evicted++
 	if !s.evict(c) {
-		c.reject(&Rejection{http.StatusServiceUnavailable, "no connection is left for it"})
+		c.reject(&Rejection{http.StatusServiceUnavailable, "no connection is left for it"}, Evicted)
 	}
 }
 
@@ -158,7 +164,7 @@
 
 func (c *connection) requestTimedOut() {
 	c.server.TimedOut++
-	c.reject(&Rejection{http.StatusRequestTimeout, "the request did not come in time"})
+	c.reject(&Rejection{http.StatusRequestTimeout, "the request did not come in time"}, BadInput)
 }
 
 // feed reads on in the request that is coming in.
@@ -178,7 +184,7 @@
 	if errors.As(err, &fault) {
 		status = fault.Status
 	}
-	c.reject(&Rejection{status, err.Error()})
+	c.reject(&Rejection{status, err.Error()}, BadInput)
 }
 
 // readAhead keeps what comes while a request is being answered.
@@ -190,7 +196,7 @@
 	n := len(c.ahead) + len(b)
 	if n > maxAheadBodies*s.limits.Body || n > minAhead && s.buffered+len(b) > s.limits.Buffered/2 {
 		s.Rejected++
-		c.abort()
+		c.abort(TooMuchAhead)
 		return
 	}
 	c.ahead = append(c.ahead, b...)
@@ -308,7 +314,7 @@
 		status, text = http.StatusServiceUnavailable, "no model host is known yet"
 	}
 	c.dropRequest()
-	if c.writeWhole(status, text, c.staysOpen()) {
+	if c.writeWhole(status, text, c.staysOpen(), AfterAnswer) {
 		c.state = answering
 		c.server.loop.Later(c.next)
 	}
@@ -316,7 +322,7 @@
 
 // handle passes the request on.
 func (c *connection) handle() *Rejection {
-	response := &Response{connection: c, buffered: cap(c.body)}
+	response := &Response{connection: c, id: c.request.ID, buffered: cap(c.body)}
 	request := c.request
 	request.Body = c.body
 	c.head, c.request, c.body = nil, nil, nil
@@ -339,31 +345,31 @@
 func (c *connection) rejectAndKeep(r *Rejection) {
 	c.dropRequest()
 	c.server.Rejected++
-	if c.writeWhole(r.Status, r.Reason, c.staysOpen()) {
+	if c.writeWhole(r.Status, r.Reason, c.staysOpen(), AfterAnswer) {
 		c.state = pausing
 		c.wait.For(c.server.loop, rejectionPause, c.next)
 	}
 }
 
 // reject answers what can't be read and closes, as what follows can't be told apart any more.
-func (c *connection) reject(r *Rejection) {
+func (c *connection) reject(r *Rejection, why CloseReason) {
 	if c.state == closing {
 		return
 	}
 	c.server.Rejected++
 	c.dropRequest()
-	c.writeWhole(r.Status, r.Reason, false)
+	c.writeWhole(r.Status, r.Reason, false, why)
 }
 
 // writeWhole writes a whole answer, and closes the connection unless it stays open; it tells whether it does.
-func (c *connection) writeWhole(status int, text string, staysOpen bool, fields ...string) bool {
+func (c *connection) writeWhole(status int, text string, staysOpen bool, why CloseReason, fields ...string) bool {
 	fields = append(fields, "Content-Type", "text/plain")
 	if !staysOpen {
 		fields = append(fields, "Connection", "close")
 	}
 	c.conn.Write(http1.AppendResponse(nil, status, []byte(text+"\n"), fields...))
 	if !staysOpen {
-		c.close()
+		c.close(why)
 	}
 	return staysOpen
 }
--- a/internal/platform/server/response.go
+++ b/internal/platform/server/response.go
@@ -12,6 +12,7 @@
 // Response carries the one final answer to a request, and lets nothing through after it.
 type Response struct {
 	connection *connection
+	id         string
 	buffered   int  // bytes of the request's body
 	begun      bool // its head has been written
 	staysOpen  bool // which says that another request may follow
@@ -46,7 +47,7 @@
 	c.out = http1.AppendChunk(b, c.event)
 	c.conn.Write(c.out)
 	limits := &c.server.limits
-	return c.wait.Lags(c.server.loop, c.conn, limits.Unsent, limits.Stall, c.abort)
+	return c.wait.Lags(c.server.loop, c.conn, limits.Unsent, limits.Stall, func() { c.abort(ClientStalled) })
 }
 
 // Drained implements eventloop.Handler.
@@ -64,7 +65,7 @@
 func (r *Response) Complete() {
 	if !r.done {
 		r.connection.conn.Write(http1.AppendLastChunk(nil))
-		r.close()
+		r.close(AfterAnswer)
 	}
 }
 
@@ -72,7 +73,7 @@
 func (r *Response) Break() {
 	if !r.done {
 		r.staysOpen = false
-		r.close()
+		r.close(StreamBroken)
 	}
 }
 
@@ -95,17 +96,17 @@
 	c := r.connection
 	r.finish()
 	c.response = nil
-	if c.writeWhole(status, text, c.staysOpen(), fields...) {
+	if c.writeWhole(status, text, c.staysOpen(), AfterAnswer, fields...) {
 		c.server.loop.Later(c.next)
 	}
 }
 
-func (r *Response) close() {
+func (r *Response) close(why CloseReason) {
 	c := r.connection
 	r.finish()
 	c.response = nil
 	if !r.staysOpen {
-		c.close()
+		c.close(why)
 		return
 	}
 	c.wait.Over()
--- a/internal/platform/server/server.go
+++ b/internal/platform/server/server.go
@@ -54,7 +54,10 @@
 }
 
 // Counts are what the server has seen: requests rejected, connections that made way for others, and those that brought no request in time.
-type Counts struct{ Rejected, Evicted, TimedOut uint64 }
+type Counts struct {
+	Rejected, Evicted, TimedOut uint64
+	Closed                      Closed
+}
 
 // Server takes connections.
 type Server struct {
@@ -67,6 +70,8 @@
 	buffered    int
 	draining    bool // connections end with their next answer
 	shutDown    bool // nothing more is passed on
+	// OnUnansweredClose, where it is set, is told of each connection that is closed from here over a request that was read.
+	OnUnansweredClose func(id, why string)
 	Counts
 }
 
@@ -145,7 +150,7 @@
 // says it at once.
 func (s *Server) evict(newest *connection) bool {
 	for e := s.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*connection); c != newest && c.closeIdle() {
+		if c := e.Value.(*connection); c != newest && c.closeIdle(Evicted) {
 			return true
 		}
 	}
--- a/internal/platform/state.go
+++ b/internal/platform/state.go
@@ -16,6 +16,7 @@
 // hold notes that a host may hold something for the request from now on, for as long as a state may wait.
 func (d *Dispatcher) hold(r *request) {
 	r.held = true
+	r.ledger.Held(d.loop.Now())
 	r.leaseEnd = d.loop.Now() + eventloop.Micros(leasePart*float64(d.settings.ReleaseWithin))
 	d.awaitLeaseEnd(r)
 }
@@ -52,8 +53,10 @@
 func (d *Dispatcher) release(r *request) {
 	r.held, r.releasing = false, true
 	r.lease.Over()
+	d.logState(r, "releasing").Str("holder", d.hosts[r.holder].Name).Msg("request")
 	d.upstream.Release(r.client.ID, r.holder, func(bool) {
 		r.releasing = false
+		r.ledger.Released(d.loop.Now())
 		if send := r.deferred; send != nil {
 			r.deferred = nil
 			send()
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -27,6 +27,8 @@
 	Body       []byte
 	// LeaveWithin is how long the request may take to leave; 0: the time for a connection.
 	LeaveWithin eventloop.Micros
+	// OnLeave is called as the request is written, with the time that its host is told.
+	OnLeave func(told eventloop.Micros)
 }
 
 // Client makes the attempts and releases of one dispatcher.
@@ -58,6 +60,9 @@
 }
 
 func (r Request) to(addr string, left eventloop.Micros) []byte {
+	if r.OnLeave != nil {
+		r.OnLeave(left)
+	}
 	fields := slices.Concat(r.Fields, []string{"Req-Deadline", strconv.FormatInt(int64(left), 10) + "u"})
 	return http1.AppendRequest(nil, "POST", r.Target, addr, r.Body, fields...)
 }
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -91,8 +91,8 @@
 	NeverSent
 )
 
-// neverRan tells whether an ending proves that the attempt had no effect.
-func (e Ending) neverRan() bool {
+// NeverRan tells whether an ending proves that the attempt had no effect.
+func (e Ending) NeverRan() bool {
 	return e == Full || e == Unreachable || e == NeverSent || e == PrefillDone
 }
 
--- /dev/null
+++ b/scheduler/reason.go
@@ -0,0 +1,24 @@
+package scheduler
+
+// Reason is why a request got its final answer from the scheduler.
+type Reason uint8
+
+const (
+	NoTimeLeft   Reason = iota // its time limit is reached
+	NoAttempts                 // its attempts are used up
+	TooLate                    // it can't be in time any more, and others can
+	MayHaveRun                 // an attempt may have run, and a repeat could do harm
+	NoSuchClass                // its class is not one of the deployment's
+	Withdrawn                  // whoever hosts the scheduler asked for it
+	SendRefused                // the attempt that was chosen would have broken a rule
+	ClosedBehind               // an answer had begun, and ended without its client's having it
+)
+
+var reasonNames = [...]string{"no time left", "no attempts left", "too late", "may have run", "no such class", "withdrawn", "send refused", "closed behind"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Explainer is implemented by Orders that want to know why a request is rejected or failed; it is told just before.
+type Explainer interface {
+	Explain(request RequestID, why Reason)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -162,7 +162,7 @@
 func (d *Dispatcher) Quit(now Micros, id RequestID) {
 	d.now = now
 	if g := d.gens[id]; g != nil && !g.answered && (g.out == nil || !g.out.started) {
-		d.giveUp(g)
+		d.giveUp(g, Withdrawn)
 	}
 	d.arm()
 }
@@ -177,6 +177,7 @@
 		shared: shared, growth: most / 2, arrived: now, deadline: deadline}
 	d.gens[id] = g
 	if int(product) >= len(d.Classes) {
+		d.explain(g, NoSuchClass)
 		d.finish(g, d.orders.Fail)
 		return
 	}
@@ -193,7 +194,7 @@
 		d.allowed[tenant] = max(d.allowed[tenant], 0)
 	}
 	// Two ticks early: an answer given at the limit itself would reach the client after it has hung up.
-	g.limit = d.due.Set(deadline-2*d.Tick-ms, func() { d.giveUp(g) })
+	g.limit = d.due.Set(deadline-2*d.Tick-ms, func() { d.giveUp(g, NoTimeLeft) })
 	d.enter(g)
 	d.arm()
 }
@@ -201,7 +202,7 @@
 // enter starts a request on its way, or holds it while no writer fits or no reader can be had.
 func (d *Dispatcher) enter(g *request) {
 	if g.sent+2 > d.MaxAttempts {
-		d.giveUp(g)
+		d.giveUp(g, NoAttempts)
 		return
 	}
 	whole := d.Classes[g.product].ReadOnly // it goes to mixed hosts only where the readers are busy
@@ -276,7 +277,7 @@
 	if ordered && slices.ContainsFunc(d.held, d.timely) {
 		for _, g := range d.held {
 			if !d.timely(g) {
-				d.giveUp(g)
+				d.giveUp(g, TooLate)
 			}
 		}
 	}
@@ -329,7 +330,7 @@
 	}
 	switch {
 	case !d.mayRepeat(g, nil):
-		d.giveUp(g)
+		d.giveUp(g, MayHaveRun)
 	case g.state != nil:
 		d.write(g)
 	default:
@@ -338,7 +339,8 @@
 }
 
 // giveUp ends a request: throttled where a further try is harmless, otherwise terminated.
-func (d *Dispatcher) giveUp(g *request) {
+func (d *Dispatcher) giveUp(g *request, why Reason) {
+	d.explain(g, why)
 	if d.mayReject(g) {
 		d.finish(g, func(id RequestID) { d.orders.Reject(id, min(sec/2, d.MaxRetryAfter)) })
 	} else {
@@ -346,6 +348,12 @@
 	}
 }
 
+func (d *Dispatcher) explain(g *request, why Reason) {
+	if e, ok := d.orders.(Explainer); ok && !g.answered {
+		e.Explain(g.id, why)
+	}
+}
+
 // finish gives the final answer and sees that nothing stays held: ending a request releases nothing.
 func (d *Dispatcher) finish(g *request, answer func(RequestID)) {
 	if !g.answered {
@@ -393,8 +401,15 @@
 // --- Legs ---
 
 func (d *Dispatcher) send(g *request, h *host, read float64, then func(Ending, int)) {
-	if g.sent >= d.MaxAttempts || g.deadline <= d.now {
-		d.giveUp(g)
+	switch {
+	case g.sent >= d.MaxAttempts:
+		d.giveUp(g, NoAttempts)
+		return
+	case g.deadline <= d.now:
+		d.giveUp(g, NoTimeLeft)
+		return
+	case d.refuse(g, h):
+		d.giveUp(g, SendRefused)
 		return
 	}
 	l := &attempt{no: AttemptNo(g.sent), gen: g, host: h, sent: d.now, work: read, ahead: h.unread,
@@ -493,7 +508,7 @@
 	if how == PrefillDone {
 		d.learnRead(h, l, g, work, float64(note))
 	}
-	if l.writes && g.ran == nil && !how.neverRan() {
+	if l.writes && g.ran == nil && !how.NeverRan() {
 		g.ran = l
 	}
 	switch {
@@ -504,7 +519,7 @@
 		}
 		d.finish(g, nil)
 	case l.started:
-		d.giveUp(g) // ended without closing, as when our cancel crossed its start: an answer is still owed
+		d.giveUp(g, ClosedBehind) // ended without closing, as when our cancel crossed its start: an answer is still owed
 	default:
 		l.then(how, note)
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -43,6 +43,7 @@
 	pairs        float64              // of these, with the same prefix
 	homesKeep    float64              // share of shared texts that homes had kept though not read for this dispatcher
 	noConnection decayingMean         // share of new connections that failed
+	violations   int                  // attempts that were refused where they are sent
 	looked       uint64               // hosts that were looked at for decisions; tests hold it against the fleet's size
 }
 
