--- a/internal/platform/server/races_test.go
+++ b/internal/platform/server/races_test.go
@@ -17,6 +17,7 @@
 // silentHandler takes requests and answers none; it counts clients that go.
 type silentHandler struct {
 	handled, gone chan string
+	waiting       chan *Response // of requests that are not answered
 	answer        bool
 }
 
@@ -27,6 +28,8 @@
 	h.handled <- r.ID
 	if h.answer {
 		response.Reject(0)
+	} else {
+		h.waiting <- response
 	}
 	return nil
 }
@@ -40,7 +43,7 @@
 	}
 	t.Cleanup(loop.Stop)
 	loop.TakeIn = 8 << 10
-	handler.handled, handler.gone = make(chan string, 1000), make(chan string, 1000)
+	handler.handled, handler.gone, handler.waiting = make(chan string, 1000), make(chan string, 1000), make(chan *Response, 1000)
 	s := New(loop, limits, handler)
 	var address string
 	loop.Do(func() {
@@ -280,3 +283,56 @@
 		}
 	}
 }
+
+// TestMoreAheadThanIsKept: a client that sends more requests ahead than are kept has an answer to each, in their order, and the connection
+// goes on; what is not kept is rejected in its turn.
+func TestMoreAheadThanIsKept(t *testing.T) {
+	handler := &silentHandler{}
+	limits := testLimits()
+	loop, s, address := serve(t, limits, handler)
+	c := dial(t, address)
+	const ahead, size = 150, 20 << 10 // three times what is kept
+	sent := make(chan error, 1)
+	go func() {
+		text := requestText("first", 100)
+		for i := range ahead {
+			text += requestText(fmt.Sprint("ahead", i), size)
+		}
+		_, err := c.Write([]byte(text))
+		sent <- err
+	}()
+	receive(t, "the first", handler.handled)
+	first := <-handler.waiting
+	if err := <-sent; err != nil { // it is read on, without an answer
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	loop.Do(func() {
+		if s.Buffered() > maxAheadBodies*limits.Body+minAhead {
+			t.Errorf("%d bytes are buffered", s.Buffered())
+		}
+		handler.answer = true
+		first.Fail()
+	})
+	want := http.StatusInternalServerError
+	for i := range 1 + ahead {
+		response, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if response.StatusCode != want {
+			t.Fatalf("answer %d: status %d", i, response.StatusCode)
+		}
+		response.Body.Close()
+		want = http.StatusServiceUnavailable
+	}
+	if n := len(handler.handled); n < 10 || n >= ahead {
+		t.Errorf("%d of %d were passed on", n, ahead)
+	}
+	if _, err := c.Write([]byte(requestText("last", 100))); err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.ReadResponse(in, nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("behind them: %v", err)
+	}
+}
