--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -153,3 +153,28 @@
 		})
 	}
 }
+
+// TestReleaseOverSlowConnections: where no connection waits and new ones are slow to come up, a release is not given up before it could
+// arrive: other hosts are asked beside the first.
+func TestReleaseOverSlowConnections(t *testing.T) {
+	r := newRig(t, 256, fleet...)
+	all(r.writers(), func(*line) {})
+	c := r.ask("explain")
+	r.until(eventloop.Second, "the call", func() bool { return r.hosts[2].count("POST")+r.hosts[3].count("POST") > 0 })
+	for _, h := range r.hosts {
+		h.loop.Do(func() {
+			for _, l := range h.lines {
+				l.conn.Abort()
+			}
+		})
+	}
+	r.w.Latency = 55 * eventloop.Millisecond // 110 for a connection, 110 for an answer
+	r.far.Do(c.conn.Abort)
+	r.w.Run(60 * eventloop.Millisecond)
+	began := r.w.Now()
+	r.until(5*eventloop.Second, "the release's end", func() bool { return len(r.x.requests) == 0 })
+	if took := r.w.Now() - began; took > 500*eventloop.Millisecond {
+		t.Errorf("released after %d ms", took/eventloop.Millisecond)
+	}
+	r.quiet()
+}
--- a/internal/testbed/soak/proxy.go
+++ b/internal/testbed/soak/proxy.go
@@ -69,6 +69,9 @@
 	}
 	if now() < p.late.Load() {
 		time.Sleep(lateBy)
+		if hungUp(c) { // it did not wait for the connection
+			return
+		}
 	}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(p.Name)}, Timeout: time.Second}
 	far, err := dialer.Dial("tcp", target)
