--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	"plumspindle/internal/idempotency"
 	"plumspindle/internal/lifecycle"
 	"plumspindle/internal/roster"
+	"plumspindle/internal/starttimes"
 	"plumspindle/internal/store"
 	"plumspindle/internal/subscribe"
 	"plumspindle/internal/tenancy"
@@ -108,6 +109,7 @@
 	hosts   map[scheduler.HostID]roster.Entry
 	keeping bool
 	heard   uint64 // lists and changes that came from discovery
+	starts  map[scheduler.HostID]starttimes.Start
 	repeats *idempotency.Book
 	runs    map[*idempotency.Entry]*gen // generations with a key that are not answered yet
 	leaving func()                      // what to do once nothing runs any more
@@ -160,7 +162,7 @@
 	ms := func(v uint32) eventloop.Micros { return eventloop.Micros(v) * eventloop.Millisecond }
 	x := &Dispatcher{Deployment: d, loop: loop, post: post, gens: map[scheduler.RequestID]*gen{}, runs: map[*idempotency.Entry]*gen{},
 		products: map[string]scheduler.ClassID{},
-		hosts:    map[scheduler.HostID]roster.Entry{}}
+		hosts:    map[scheduler.HostID]roster.Entry{}, starts: map[scheduler.HostID]starttimes.Start{}}
 	x.engine = engine.New(loop, post.Name, post.Zone, engine.Limits{Connect: ms(d.Dispatching.ConnectMs),
 		Idle: ms(d.Dispatching.IdleMs), Silence: ms(d.Dispatching.SilenceMs), Most: int(d.Dispatching.Connections),
 		Opening: int(d.Dispatching.Openings)})
@@ -290,6 +292,11 @@
 
 func (x *Dispatcher) tell(entries []roster.Entry, whole bool) {
 	now := x.loop.Now()
+	var stamps []eventloop.Micros
+	for _, e := range entries {
+		stamps = append(stamps, eventloop.Micros(e.Started))
+	}
+	ahead := starttimes.Ahead(now, stamps...)
 	for _, e := range entries {
 		zone, kind := slices.Index(x.Zones, e.Zone), unknownKind
 		for i, k := range x.Kinds {
@@ -307,12 +314,16 @@
 		if e.Condition == "gone" {
 			x.engine.Forget(e.ID)
 			delete(x.hosts, e.ID)
+			delete(x.starts, e.ID)
 		} else {
 			x.engine.Place(e.ID, e.Addr)
 		}
-		// A start that is told to lie ahead, by another machine's clock, is taken to be now: it is young.
+		start := starttimes.Next(x.starts[e.ID], eventloop.Micros(e.Started), now, ahead, x.heard > 1)
+		if e.Condition != "gone" {
+			x.starts[e.ID] = start
+		}
 		x.module.Listed(now, e.ID, scheduler.ZoneID(zone), scheduler.KindID(kind), scheduler.CellID(e.Cell), e.State(),
-			min(scheduler.Micros(e.Started), now))
+			start.At)
 	}
 	x.module.ListEnded(now, whole)
 	readers := 0
--- a/internal/engine/release.go
+++ b/internal/engine/release.go
@@ -17,7 +17,7 @@
 	if h == nil || len(names) == 0 {
 		return
 	}
-	e.letGo(h, names, func(arrived bool) {
+	e.letGo(h, names, releaseTimeout, func(arrived bool) {
 		if !arrived {
 			for _, name := range names {
 				h.owed = append(h.owed, owed{name, e.loop.Now() + releaseFor})
@@ -51,7 +51,7 @@
 		for _, o := range h.owed[:n] {
 			names = append(names, o.name)
 		}
-		e.letGo(h, names, func(arrived bool) {
+		e.letGo(h, names, releaseTimeout+2*h.pause, func(arrived bool) { // a connection may be slow to come up
 			h.owing = false
 			if h.pause = min(max(2*h.pause, releasePause), maxReleasePause); arrived {
 				h.owed, h.pause = slices.Delete(h.owed, 0, n), 0
@@ -61,7 +61,7 @@
 	})
 }
 
-func (e *Engine) letGo(h *host, names []string, done func(arrived bool)) {
+func (e *Engine) letGo(h *host, names []string, within eventloop.Micros, done func(arrived bool)) {
 	answer := func(head *http1.Head, _ []byte) Outcome {
 		if head.Status == 200 {
 			return Outcome{How: scheduler.PrefillDone}
@@ -71,5 +71,5 @@
 	e.call(h, Call{Spare: true, Most: answerMost, Answer: answer, Request: func(addr string, _ eventloop.Micros) []byte {
 		return http1.AppendRequest(nil, "POST", "/v1/kv/release", addr, []byte(`{"request_ids":["`+strings.Join(names, `","`)+`"]}`),
 			"Content-Type", "application/json", "x-dispatcher", e.name, "x-zone", e.zone)
-	}}, releaseTimeout, Callbacks{Ended: func(o Outcome) { done(o.How == scheduler.PrefillDone) }})
+	}}, within, Callbacks{Ended: func(o Outcome) { done(o.How == scheduler.PrefillDone) }})
 }
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"plumspindle/internal/eventloop"
+	"plumspindle/internal/starttimes"
 	"plumspindle/internal/subscribe"
 	"plumspindle/scheduler"
 )
@@ -39,7 +40,7 @@
 	Cell       scheduler.CellID
 	Condition  scheduler.Condition
 	Started    scheduler.Micros // on this process's clock; 0: long ago
-	stamp      int64            // when it started by the clock of whoever listed it, in milliseconds
+	start      starttimes.Start
 }
 
 // Watch keeps the list.
@@ -60,8 +61,7 @@
 	name string
 	gone eventloop.Micros // since when it is not listed; 0: it is
 	// As the newest list had it, and when.
-	started  scheduler.Micros
-	stamp    int64
+	start    starttimes.Start
 	retired  bool // it wants nothing new
 	listedAt eventloop.Micros
 }
@@ -111,15 +111,16 @@
 	}
 	var entries []Entry
 	now := w.loop.Now()
-	ahead := w.clockAhead(list, now)
+	ahead := clockAhead(list, now)
 	for i, s := range list.Get("servers").Array() {
 		e, err := w.entry(s, now)
 		if err != nil { // one that can't be read must not cost the others
 			w.log(fmt.Sprintf("discovery: entry %d of version %d: %v; it is passed over", i, version, err))
 			continue
 		}
-		e.Started = w.startedAt(&e, now, ahead)
+		e.start = starttimes.Next(w.numbers[e.ID].start, stampOf(s), now, ahead, w.speaks)
 		w.keepNewest(&e, version, now)
+		e.Started = e.start.At
 		entries = append(entries, e)
 	}
 	w.version = version
@@ -140,38 +141,27 @@
 func (w *Watch) keepNewest(e *Entry, version uint64, now eventloop.Micros) {
 	n := w.numbers[e.ID]
 	if version < w.newest && now-n.listedAt < newestKept {
-		if n.retired && e.stamp <= n.stamp {
+		if n.retired && e.start.Stamp <= n.start.Stamp {
 			e.Condition = scheduler.Draining
 		}
-		e.Started = n.started
+		e.start = n.start
 		return
 	}
-	n.started, n.stamp, n.retired, n.listedAt = e.Started, e.stamp, e.Condition != scheduler.Ready, now
+	n.start, n.retired, n.listedAt = e.start, e.Condition != scheduler.Ready, now
 }
 
-// startedAt is when a host started, on this process's clock. Wall clocks may be stepped, so a stamp is only compared with the one before: where
-// it has changed in service, the host has started since, and counts as started now, however old the stamp looks. What the first list
-// names is as old as the clocks say, as nothing else is known of it.
-func (w *Watch) startedAt(e *Entry, now eventloop.Micros, ahead eventloop.Micros) scheduler.Micros {
-	n := w.numbers[e.ID]
-	switch {
-	case e.stamp <= 0:
-		return 0
-	case e.stamp == n.stamp:
-		return n.started
-	case w.speaks:
-		return now
-	}
-	return max(scheduler.Micros(min(e.stamp, math.MaxInt64/2000))*eventloop.Millisecond-ahead, 1)
-}
-
-// clockAhead is by how much the clock of a list is ahead of this process's, as far as a start in the future shows it.
-func (w *Watch) clockAhead(list gjson.Result, now eventloop.Micros) (ahead eventloop.Micros) {
+// clockAhead is by how much the clock of a list is ahead of this process's.
+func clockAhead(list gjson.Result, now eventloop.Micros) eventloop.Micros {
+	var stamps []eventloop.Micros
 	for _, s := range list.Get("servers").Array() {
-		stamp := min(s.Get("started_ms").Int(), math.MaxInt64/2000)
-		ahead = max(ahead, eventloop.Micros(stamp)*eventloop.Millisecond-now)
+		stamps = append(stamps, stampOf(s))
 	}
-	return ahead
+	return starttimes.Ahead(now, stamps...)
+}
+
+// stampOf is when an entry says that its host started.
+func stampOf(entry gjson.Result) eventloop.Micros {
+	return eventloop.Micros(min(entry.Get("started_ms").Int(), math.MaxInt64/2000)) * eventloop.Millisecond
 }
 
 func (w *Watch) entry(s gjson.Result, now eventloop.Micros) (e Entry, err error) {
@@ -190,7 +180,6 @@
 		condition = scheduler.Draining
 	}
 	e.Condition = condition
-	e.stamp = s.Get("started_ms").Int()
 	e.ID = w.Number(e.Name)
 	n := w.numbers[e.ID]
 	if n.gone = 0; condition == scheduler.Gone {
--- a/internal/sockets/dial.go
+++ b/internal/sockets/dial.go
@@ -28,7 +28,7 @@
 }
 
 func (l *Loop) dial(addr string, within eventloop.Micros, h eventloop.Handler, spare bool) eventloop.Conn {
-	l.spares.fill()
+	_ = l.spares.fill()
 	c := &conn{l: l, h: h}
 	fail := func(err error) {
 		if c.nb == nil && !c.ended {
--- a/internal/sockets/spares.go
+++ b/internal/sockets/spares.go
@@ -23,21 +23,22 @@
 
 func newSpares() *spares {
 	s := &spares{}
-	s.fill()
+	_ = s.fill()
 	return s
 }
 
-// fill takes again what was given up, as far as it can be had.
-func (s *spares) fill() {
+// fill takes again what was given up, as far as it can be had, and tells why not all could.
+func (s *spares) fill() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.held) < spareMost {
 		f, err := os.Open(os.DevNull)
 		if err != nil {
-			return
+			return err
 		}
 		s.held = append(s.held, f)
 	}
+	return nil
 }
 
 // take gives one up, and tells whether there was one.
@@ -63,15 +64,12 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
-// complete tells whether all are held, once those are taken again that can be had.
-func (s *spares) complete() bool {
-	s.fill()
-	return s.left() == spareMost
-}
+// complete tells whether none is missing for want of descriptors, once those are taken again that can be had.
+func (s *spares) complete() bool { return !noDescriptors(s.fill()) }
 
 // WithDescriptor runs f, and again with descriptors that are kept back where it fails for want of one. It may be called from anywhere.
 func (l *Loop) WithDescriptor(f func() error) error {
-	defer l.spares.fill()
+	defer func() { _ = l.spares.fill() }()
 	for {
 		if err := f(); !noDescriptors(err) || !l.spares.take() {
 			return err
@@ -91,7 +89,7 @@
 // back, to be served.
 func (own *listener) turnAway() (served net.Conn, done bool) {
 	s := own.l.spares
-	if s.fill(); s.left() < 2 || !s.take() {
+	if s.complete(); s.left() < 2 || !s.take() {
 		return nil, false
 	}
 	if ln, ok := own.ln.(*net.TCPListener); ok { // with none waiting it must not hold on to the descriptor
@@ -100,14 +98,14 @@
 	}
 	raw, err := own.ln.Accept()
 	if err != nil {
-		s.fill()
+		_ = s.fill()
 		return nil, !noDescriptors(err)
 	}
 	if s.complete() {
 		return raw, true
 	}
 	own.l.refuse(raw)
-	s.fill()
+	_ = s.fill()
 	return nil, true
 }
 
