No attempt begins for a client whose close has arrived and is not handed over yet

Cause: the close of a client is heard through the poller, and after the process was held up a timer's attempt could come first, up to 150 ms after the close. The socket is asked where an attempt is started (HungUp). TestClientGoneBehindALag: one attempt before, none now.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -67,6 +67,8 @@
 	// Quiet tells whether the other side is still there and has sent nothing that is not handed over yet. It asks the network, as that
 	// news may still be on its way up.
 	Quiet() bool
+	// HungUp tells whether the other side has ended, also where that is not handed over yet. It asks the network.
+	HungUp() bool
 	// Pause stops or resumes the handing over of data; while paused, little more than the socket's own
 	// buffer is taken in, so that the other side is slowed.
 	Pause(on bool)
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -33,6 +33,13 @@
 // startAttempt hands the attempt to the network. The times that it may take, and may take to leave, count from when it was ordered: whether
 // it may still be sent, as a repeat in its window, was looked at then.
 func (d *Dispatcher) startAttempt(r *request, no scheduler.AttemptNo, allow eventloop.Micros) {
+	if r.response.ClientGone() { // its news may be late, as after the process was held up
+		d.loop.Later(func() {
+			d.clientGone(r)
+			d.attemptEnded(r, no, engine.Outcome{How: scheduler.NeverSent, Memory: scheduler.NoReport, Why: "its client has left"})
+		})
+		return
+	}
 	host := d.guardHost(r)
 	if v := r.ledger.Send(d.loop.Now(), host); v != nil { // never within the module's own call
 		d.loop.Later(func() {
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -178,3 +178,28 @@
 	}
 	r.quiet()
 }
+
+// TestClientGoneBehindALag: where the news of a client's close has reached this machine and not the loop, as after the process was held up, no
+// attempt begins for it.
+func TestClientGoneBehindALag(t *testing.T) {
+	r := newRig(t, 256, fleet...)
+	declined := 0
+	all(r.readers(), func(l *line) {
+		declined++
+		l.answer(503, "", "Srv-Declined", "1")
+	})
+	first := r.ask("post")
+	r.until(eventloop.Second, "two refusals", func() bool { return declined == 2 })
+	c := r.ask("post") // the hosts are not asked again for a moment
+	r.w.Run(5 * eventloop.Millisecond)
+	r.w.Heard = 400 * eventloop.Millisecond
+	r.far.Do(c.conn.Abort)
+	r.w.Run(390 * eventloop.Millisecond)
+	r.w.Heard = 0
+	r.far.Do(first.conn.Abort)
+	r.w.Run(eventloop.Second)
+	if declined > 2 {
+		t.Errorf("%d attempts began after the client's close", declined-2)
+	}
+	r.quiet()
+}
--- a/internal/platform/dispatcher.go
+++ b/internal/platform/dispatcher.go
@@ -66,6 +66,7 @@
 	hosts        map[scheduler.HostID]discovery.Entry
 	ready        []scheduler.HostID // that want new requests, in order
 	startedAt    eventloop.Micros
+	wasInformed  bool // discovery has spoken since, or had its chance to
 	shuttingDown bool
 	lastActive   eventloop.Micros // while it is shutting down
 	// OnViolation, where it is set, is told what the guard reports.
@@ -123,7 +124,8 @@
 // informed tells whether discovery speaks, or has had its chance to. What discovery has counts as told from the first moment, and what
 // was known before may name hosts that are gone.
 func (d *Dispatcher) informed() bool {
-	return d.discovery.Up() || d.loop.Now()-d.startedAt >= agentTimeout
+	d.wasInformed = d.wasInformed || d.discovery.Up() || d.loop.Now()-d.startedAt >= agentTimeout
+	return d.wasInformed
 }
 
 // WhenInformed calls do once discovery speaks, or has had its chance to: until then no request should be taken.
--- a/internal/platform/server/response.go
+++ b/internal/platform/server/response.go
@@ -22,6 +22,9 @@
 	OnWritable   func()
 }
 
+// ClientGone tells whether the client has closed its connection, also where that was not told yet.
+func (r *Response) ClientGone() bool { return r.done || r.connection.conn.HungUp() }
+
 // finish tells that nothing is owed, or kept, any more.
 func (r *Response) finish() {
 	r.done = true
--- a/internal/sockets/conn.go
+++ b/internal/sockets/conn.go
@@ -298,6 +298,16 @@
 // Unsent implements eventloop.Conn.
 func (c *conn) Unsent() int { return len(c.out) }
 
+// HungUp implements eventloop.Conn.
+func (c *conn) HungUp() bool {
+	if c.ended || c.cause != nil {
+		return true
+	}
+	gone := false
+	open := c.socket(func(fd int) { gone = hungUp(fd) })
+	return c.nb != nil && (gone || !open)
+}
+
 // Undelivered implements eventloop.Conn: it asks the system for bytes that the other side has not acknowledged.
 func (c *conn) Undelivered() bool {
 	waits := 0
--- a/internal/testbed/soak/audit.go
+++ b/internal/testbed/soak/audit.go
@@ -136,7 +136,7 @@
 		if i == 0 {
 			continue
 		}
-		if after := time.Duration(e.At-t.ran[0].At) * time.Microsecond; t.sent.Class == "post" || after > repeatWindow {
+		if after := time.Duration(e.Value-t.ran[0].Value) * time.Microsecond; t.sent.Class == "post" || after > repeatWindow {
 			a.found("repeated effect", "%s (%s) ran at %s, and %d ms later at %s", id, t.sent.Class, t.ran[0].Host, after.Milliseconds(), e.Host)
 		}
 	}
--- a/internal/testbed/soak/host.go
+++ b/internal/testbed/soak/host.go
@@ -82,7 +82,8 @@
 		return say(c, "HTTP/1.1 204 No Content\r\n\r\n")
 	}
 	left, _ := time.ParseDuration(strings.Replace(request.Header.Get("Req-Deadline"), "u", "us", 1))
-	h.record.add(Event{Kind: Arrived, ID: id, Host: h.Name, Dispatcher: from, Value: left.Microseconds(), Text: h.Kind})
+	arrivedAt := now()
+	h.record.add(Event{At: arrivedAt, Kind: Arrived, ID: id, Host: h.Name, Dispatcher: from, Value: left.Microseconds(), Text: h.Kind})
 	h.hang()
 	if now() < h.refuses.Load() || h.draw(50) == 0 {
 		return say(c, "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
@@ -94,7 +95,7 @@
 	if h.Kind == "prefill" {
 		return h.prefill(c, id, from)
 	}
-	return h.decode(c, id)
+	return h.decode(c, id, arrivedAt)
 }
 
 // hang does nothing for as long as it is told to.
@@ -139,8 +140,8 @@
 	return say(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}")
 }
 
-func (h *host) decode(c net.Conn, id string) bool {
-	h.record.add(Event{Kind: Ran, ID: id, Host: h.Name})
+func (h *host) decode(c net.Conn, id string, arrivedAt int64) bool {
+	h.record.add(Event{Kind: Ran, ID: id, Host: h.Name, Value: arrivedAt})
 	misbehaves := h.draw(80)
 	switch misbehaves {
 	case 0:
--- a/internal/testbed/soak/record.go
+++ b/internal/testbed/soak/record.go
@@ -20,7 +20,7 @@
 const (
 	// At a model host.
 	Arrived  Kind = "arrived"  // a request's last byte
-	Ran      Kind = "ran"      // its effects took place
+	Ran      Kind = "ran"      // its effects took place; Value is when it arrived, which is what a window for repeats counts from
 	HeldFrom Kind = "held"     // what a prefill left
 	Released Kind = "released" // by a release
 	// At a client.
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -32,16 +32,19 @@
 func build(t *testing.T) (binary, library string) {
 	t.Helper()
 	folder := t.TempDir()
+	library, err := syscallfaults.Build(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if other := os.Getenv("SOAK_BINARY"); other != "" { // a build to compare with
+		return other, library
+	}
 	binary = filepath.Join(folder, "plumspindle")
 	cmd := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", binary, "plumspindle/cmd/plumspindle")
 	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
 	if output, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
-	library, err := syscallfaults.Build(folder)
-	if err != nil {
-		t.Fatal(err)
-	}
 	return binary, library
 }
 
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -359,6 +359,8 @@
 
 func (c *conn) Unsent() int { return len(c.waiting) }
 
+func (c *conn) HungUp() bool { return c.ended || c.fin != nil }
+
 func (c *conn) Undelivered() bool { return !c.ended && len(c.waiting)+c.flying > 0 }
 
 func (c *conn) Write(b []byte) {
