An attempt that has not left is taken back with its request's final answer

Cause: a request's attempt is cancelled with its answer only where the settings allow cancellation, and one that waited for a connection or a release could leave behind the answer. What has not left is taken back now with each final answer, as it was with a client's close.

--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -37,6 +37,7 @@
 func (d *Dispatcher) afterAnswer(r *request, how string) {
 	d.Reasons[r.why]++
 	d.logState(r, how).Str("class", r.client.Class).Stringer("why", r.why).Int("attempts", int(r.attempts)).Msg("request")
+	d.dropUnsent(r)
 	d.loop.Later(func() { d.settle(r) })
 }
 
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -104,10 +104,16 @@
 		return
 	}
 	d.module.Left(d.loop.Now(), r.id)
-	if !d.settings.Place.MayCancel && (r.deferred != nil || r.attempt != nil && r.attempt.Unsent()) { // it has not begun and must not
+	d.dropUnsent(r)
+	d.settle(r)
+}
+
+// dropUnsent takes an attempt back that has not begun and must not, as nobody waits for it any more. That is no cancellation, and done also
+// where the settings allow none.
+func (d *Dispatcher) dropUnsent(r *request) {
+	if r.deferred != nil || r.attempt != nil && r.attempt.Unsent() {
 		d.Cancel(r.id, r.attempts-1)
 	}
-	d.settle(r)
 }
 
 // settle sees, after each of the module's calls, to what no order comes for: nothing stays held for a request without an attempt that
