A release asks hosts that drain where none of the others confirms it

Traced: all hosts but one drained, and that one was silent for a second; a release was only ever sent to hosts that want new requests, so ten tries went to the silent one and what was held was released after 801 ms. A release is nothing new to a host that drains, and runs there (the holder itself was asked while it drained all along); after a whole round without an answer all that are listed are asked.

--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -284,3 +284,22 @@
 		r.quiet()
 	}
 }
+
+// TestReleaseWhereAllOthersDrain: where no host that wants new requests can be reached, one that drains is asked: it runs, and a release is
+// nothing new.
+func TestReleaseWhereAllOthersDrain(t *testing.T) {
+	r := newRig(t, 256, fleet...)
+	all(r.writers(), func(*line) {})
+	c := r.ask("explain")
+	r.until(eventloop.Second, "the call", func() bool { return r.hosts[2].count("POST")+r.hosts[3].count("POST") > 0 })
+	var entries []string
+	for _, h := range r.hosts[1:] {
+		entries = append(entries, h.entry("DRAINING"))
+	}
+	r.agent.tell(false, entries...)
+	r.w.Run(10 * eventloop.Millisecond)
+	r.w.Block(r.loop, r.hosts[0].loop, 3*eventloop.Second)
+	r.far.Do(c.conn.Abort)
+	r.until(500*eventloop.Millisecond, "the release's end", func() bool { return len(r.x.requests) == 0 })
+	r.quiet()
+}
--- a/internal/platform/dispatcher.go
+++ b/internal/platform/dispatcher.go
@@ -84,7 +84,7 @@
 	warn := func(line string) { config.Log.Warn().Msg(line) }
 	d.guard = d.newGuard(t.ReleaseWithin)
 	e := engine.New(loop, config.Name, "", upstreamLimits(t, config.Sockets, place.Idle))
-	d.upstream = upstream.New(loop, e, t.ReleaseWithin, func() []scheduler.HostID { return d.ready })
+	d.upstream = upstream.New(loop, e, t.ReleaseWithin, d.listedHosts)
 	d.upstream.Log = warn
 	d.server = server.New(loop, clientLimits(config.Sockets, config.Memory), d)
 	d.server.OnUnansweredClose = d.unansweredClose
--- a/internal/platform/hosts.go
+++ b/internal/platform/hosts.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"maps"
 	"slices"
 
 	"plumspindle/internal/engine"
@@ -53,6 +54,14 @@
 	d.module.Listed(now, e.ID, scheduler.ZoneID(zone), scheduler.KindID(kind), e.Cell, e.Condition, min(e.Started, now))
 }
 
+// listedHosts are those that want new requests, or all that are listed, in order.
+func (d *Dispatcher) listedHosts(all bool) []scheduler.HostID {
+	if !all {
+		return d.ready
+	}
+	return slices.Sorted(maps.Keys(d.hosts))
+}
+
 // wanted tells whether a host wants new requests.
 func (d *Dispatcher) wanted(id scheduler.HostID) bool {
 	_, found := slices.BinarySearch(d.ready, id)
--- a/internal/platform/upstream/release.go
+++ b/internal/platform/upstream/release.go
@@ -41,6 +41,7 @@
 	began  eventloop.Micros
 	asked  scheduler.HostID // last
 	tried  map[scheduler.HostID]bool
+	wide   bool              // hosts that want nothing new are asked too, as none of the others has confirmed it
 	open   []*engine.Attempt // the oldest first
 	next   eventloop.Wait    // for the time to ask another
 	ended  bool
@@ -51,7 +52,7 @@
 // have fallen silent together their connections wait all the same, and a state has no time for one after the other.
 func (l *Client) other(r *release, usual scheduler.HostID) scheduler.HostID {
 	best, rank, spoke := usual, -1, eventloop.Micros(0)
-	for _, h := range l.hosts() {
+	for _, h := range l.hosts(r.wide) {
 		at := 0
 		if !r.tried[h] {
 			at += 2
@@ -68,7 +69,11 @@
 
 // triedAll tells whether every host has been asked since the last pause.
 func (r *release) triedAll() bool {
-	return !slices.ContainsFunc(r.client.hosts(), func(h scheduler.HostID) bool { return !r.tried[h] })
+	untried := func(h scheduler.HostID) bool { return !r.tried[h] }
+	if !r.wide && !slices.ContainsFunc(r.client.hosts(false), untried) {
+		r.wide = true
+	}
+	return !slices.ContainsFunc(r.client.hosts(r.wide), untried)
 }
 
 // ask sends one try, and another one soon if no answer comes.
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -36,7 +36,7 @@
 	*engine.Engine
 	loop   eventloop.Loop
 	within eventloop.Micros
-	hosts  func() []scheduler.HostID
+	hosts  Hosts
 	Log    func(line string)
 	Counts
 }
@@ -44,8 +44,11 @@
 // Counts are of releases.
 type Counts struct{ Releases, Tries, Late uint64 }
 
-// New makes a client; within is the time that a state may wait, and hosts are those that a release may be sent to.
-func New(loop eventloop.Loop, e *engine.Engine, within eventloop.Micros, hosts func() []scheduler.HostID) *Client {
+// Hosts are those that a release may be sent to: those that want new requests, or all that are listed.
+type Hosts func(all bool) []scheduler.HostID
+
+// New makes a client; within is the time that a state may wait.
+func New(loop eventloop.Loop, e *engine.Engine, within eventloop.Micros, hosts Hosts) *Client {
 	return &Client{Engine: e, loop: loop, within: within, hosts: hosts, Log: func(string) {}}
 }
 
--- a/internal/platform/upstream/upstream_test.go
+++ b/internal/platform/upstream/upstream_test.go
@@ -99,7 +99,7 @@
 		w := virtual.New(1)
 		loop := w.Loop("d")
 		e := engine.New(loop, "d", "", engine.Limits{Connect: eventloop.Second, Idle: eventloop.Second, Most: 4, Opening: 4})
-		c := New(loop, e, within, func() []scheduler.HostID { return []scheduler.HostID{1, 2} })
+		c := New(loop, e, within, func(bool) []scheduler.HostID { return []scheduler.HostID{1, 2} })
 		done := false
 		loop.Do(func() {
 			e.Place(1, "127.0.0.1:1")
