--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -23,6 +23,7 @@
 	Dispatchers, Prefills, Decodes     int
 	Clients                            int // processes
 	Span                               time.Duration
+	Pause                              time.Duration // between troubles, in the mean
 	Binary, Library, Folder            string
 	FaultsOfSystemCalls, ClocksStepped bool
 }
@@ -56,6 +57,8 @@
 	records     []string
 	drains      [2]int // prefill and decode hosts that drain
 	drained     map[int]bool
+	started     map[int]int64 // when a host was started again, by the wall clock
+	restarts    int
 	discovery   []int // the agent that each dispatcher's configuration names
 	report      Report
 	mu          sync.Mutex // guards findings, and what follows of stops that are under way
@@ -77,7 +80,7 @@
 
 // Run plays a plan and judges it.
 func (p Plan) Run() (*Report, error) {
-	r := &run{Plan: p, chance: rand.New(rand.NewSource(p.Seed)), block: 2 + os.Getpid()%250, drained: map[int]bool{}}
+	r := &run{Plan: p, chance: rand.New(rand.NewSource(p.Seed)), block: 2 + os.Getpid()%250, drained: map[int]bool{}, started: map[int]int64{}}
 	r.report.Troubles = map[string]int{}
 	var err error
 	if r.record, err = newRecord(r.recordOf("conductor")); err != nil {
@@ -164,9 +167,28 @@
 	return nil
 }
 
+// restartHost kills a host, and starts it anew: connections are reset, and what it held is gone.
+func (r *run) restartHost(h int) error {
+	r.record.add(Event{Kind: Killed, Host: fmt.Sprint("h", h)})
+	_ = r.hosts[h].cmd.Process.Kill()
+	<-r.hosts[h].ended
+	r.restarts++
+	setup := Setup{Name: fmt.Sprint("h", h), Kind: r.kindOf(h), Listen: []string{r.address(hostAddress, h, 7000)}, Seed: r.chance.Int63(),
+		Record: r.recordOf(fmt.Sprintf("host-h%d-%d", h, r.restarts))}
+	p, err := startRole("host", setup)
+	if err != nil {
+		return err
+	}
+	r.hosts[h] = p
+	r.started[h] = time.Now().UnixMilli()
+	r.tell(h, "SERVING")
+	return nil
+}
+
 // tell has discovery tell the state of a host.
 func (r *run) tell(host int, state string) {
-	entry := fmt.Sprintf(`{"id":"h%d","addr":"%%s:%d","zone":"west","kind":%q,"cell":0,"state":%q,"weight":1.0,"started_ms":0}`, host, 7000+host, r.kindOf(host), state)
+	entry := fmt.Sprintf(`{"id":"h%d","addr":"%%s:%d","zone":"west","kind":%q,"cell":0,"state":%q,"weight":1.0,"started_ms":%d}`,
+		host, 7000+host, r.kindOf(host), state, r.started[host])
 	if state == "DRAINING" {
 		r.record.add(Event{Kind: Drained, Host: fmt.Sprint("h", host)})
 	}
@@ -177,14 +199,14 @@
 
 const settingsText = `{"group_size": %d, "tick": 4000000, "zone": 0, "localities": ["west"], "host_types": ["prefill", "decode"],
 "domain": {"duty_by_kind": ["read", "write"], "kv_tokens": [900000, 900000], "token_aim": [50000000, 50000000, 50000000], "let_go_by": %d, "local_read": true},
-"limits": {"send_cap": 6, "may_cancel": true, "retry_after": true, "max_retry_after": 1000000000, "connect_timeout": 250000000, "conn_idle": 4000000000},
+"limits": {"send_cap": %d, "may_cancel": %v, "retry_after": true, "max_retry_after": 1000000000, "connect_timeout": 250000000, "conn_idle": 4000000000},
 "obligations": {"cold": 8000000000, "cold_from": 0.25, "fall": 2000000000, "fall_multiple": 2.5},
 "request_classes": [{"name": "chat", "aim": 500000000, "deadline": 3000000000, "repeat": "read_like", "points": 1.0, "late_share": 0.5},
  {"name": "note", "aim": 500000000, "deadline": 3000000000, "repeat": "idempotency_key", "group": "all", "window": %d, "points": 2.0, "late_share": 0.5},
  {"name": "post", "aim": 500000000, "deadline": 3000000000, "repeat": "non_idempotent", "points": 3.0, "late_share": 0.5}]}`
 
 func (r *run) writeConfig(d *dispatcher) error {
-	settings := fmt.Sprintf(settingsText, r.Dispatchers, letGoBy.Nanoseconds(), repeatWindow.Nanoseconds())
+	settings := fmt.Sprintf(settingsText, r.Dispatchers, letGoBy.Nanoseconds(), 3+r.Seed%4, r.Seed%3 != 0, repeatWindow.Nanoseconds())
 	text := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1.0,"memory_mb":112,"sockets":%d},"settings":%s}`,
 		d.number, d.listen, r.address(agentAddress, d.number, 8500+r.discovery[d.number]), r.Seed+int64(d.number), descriptors, settings)
 	part := d.config + ".part"
@@ -224,7 +246,7 @@
 // trouble draws what happens until the time is over; two or three overlap.
 func (r *run) trouble() {
 	for end := now() + r.Span.Microseconds(); now() < end; {
-		time.Sleep(time.Duration(100+r.chance.Intn(500)) * time.Millisecond)
+		time.Sleep(r.Pause/2 + time.Duration(r.chance.Int63n(int64(r.Pause))))
 		t := troubles[r.chance.Intn(len(troubles))]
 		lasts := time.Duration(200+r.chance.Intn(1800)) * time.Millisecond
 		if t.do(r, lasts) {
--- a/internal/testbed/soak/troubles.go
+++ b/internal/testbed/soak/troubles.go
@@ -116,6 +116,13 @@
 		pick(r.chance, r.hosts).order("decline %s", lasts)
 		return true
 	}},
+	{"a host is killed and started again", func(r *run, _ time.Duration) bool {
+		h := r.chance.Intn(len(r.hosts))
+		if r.drained[h] {
+			return false
+		}
+		return r.restartHost(h) == nil
+	}},
 	{"a host drains", func(r *run, _ time.Duration) bool {
 		h := r.chance.Intn(len(r.hosts))
 		kind, many := 0, r.Prefills
