--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -303,3 +303,21 @@
 	r.until(500*eventloop.Millisecond, "the release's end", func() bool { return len(r.x.requests) == 0 })
 	r.quiet()
 }
+
+// TestStateOfABrokenPrefill: what a prefill attempt may have left whose answer was lost is released in time, also while the prompt is being read
+// elsewhere.
+func TestStateOfABrokenPrefill(t *testing.T) {
+	for _, mayCancel := range []string{"true", "false"} {
+		r := newRigAt(t, strings.Replace(usualSettings, `"may_cancel": true`, `"may_cancel": `+mayCancel, 1), 256, fleet...)
+		met := 0
+		all(r.readers(), func(l *line) {
+			if met++; met == 1 {
+				l.conn.Abort() // it has read the prompt
+			} // the other one hangs
+		})
+		r.ask("explain")
+		r.until(eventloop.Second, "the first attempt", func() bool { return met > 0 })
+		r.until(500*eventloop.Millisecond, "a release", func() bool { return r.releases() > 0 })
+		r.until(eventloop.Second, "the second attempt", func() bool { return met > 1 })
+	}
+}
