What an unanswered prefill may have left is released before the next attempt

Cause: leaseExpired let any attempt that had left take what is held; a second prefill takes nothing, and releasing beside it would drop what it leaves. Where a prefill was not answered, what it may have left is now released first, and the next attempt waits for that, a few milliseconds with a host that answers.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -22,6 +22,9 @@
 	r.attempts++
 	d.Attempts++
 	r.host, r.sentAt, r.prefill, r.started = host, d.loop.Now(), d.role(host) == scheduler.Prefill, false
+	if r.held && !r.releasing && (r.prefill || r.doubtful) { // it does not take what is held, and what it leaves must not go with that
+		d.release(r)
+	}
 	send := func() { d.startAttempt(r, no, allow) }
 	if r.releasing {
 		r.deferred = func() { d.afterRelease(r, no, send) }
@@ -150,7 +153,7 @@
 		// Also a prefill attempt that broke or was given up may have ended well; a decode attempt that did may have left what it was to take.
 		switch {
 		case r.prefill:
-			r.holder = r.host
+			r.holder, r.doubtful = r.host, o.How != scheduler.PrefillDone
 			d.hold(r)
 		case r.held && o.Undelivered: // it was not out, and what is held has waited on
 			d.awaitLeaseEnd(r)
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -40,6 +40,7 @@
 
 	// The KV state that a host may hold for the request.
 	held      bool
+	doubtful  bool             // the prefill that may have left it was not answered
 	holder    scheduler.HostID // the likely one
 	lease     eventloop.Wait
 	leaseEnd  eventloop.Micros
