Sockets: accepting in steps of one job each

acceptAll had grown to some sixty lines with four levels of nesting. afterFailure, take and open are its steps now; nothing else is meant to change.

--- a/internal/sockets/listen.go
+++ b/internal/sockets/listen.go
@@ -47,74 +47,84 @@
 	return own, nil
 }
 
+// acceptAll takes connections until the listener is closed; it runs in a goroutine of its own.
 func (own *listener) acceptAll(accept func(eventloop.Conn) eventloop.Handler) {
 	for {
 		if own.l.beforeAccept != nil {
 			own.l.beforeAccept()
 		}
 		raw, err := own.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if own.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		case own.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
 			if own.backlogWaits() && own.drainAgain() { // the deadline was over before anything was accepted
 				continue
 			}
 			_ = own.ln.Close()
 			return
+		case err != nil:
+			raw = own.afterFailure(err)
 		}
-		if err != nil {
-			// Descriptors are used up: with one that is kept back each that comes is told so, in turn. Where there is none left
-			// the rest waits in the backlog until some are given back.
-			var done bool
-			if noDescriptors(err) {
-				raw, done = own.turnAway()
-			}
-			if !done {
-				time.Sleep(acceptPause)
-			}
-			if raw == nil {
-				continue
-			}
-		}
-		if !own.l.spares.complete() { // one that was let go of for something else must not go to a client
+		switch {
+		case raw == nil:
+		case !own.l.spares.complete(): // a descriptor that was let go of for something else must not go to a client
 			own.l.refuse(raw)
-			continue
+		default:
+			own.l.post(func() { own.take(raw, accept) })
 		}
-		own.l.post(func() {
-			c := &conn{l: own.l, accepted: true}
-			c.h = accept(c)
-			nb, err := ownOnly(raw)
-			if err != nil {
-				go own.l.refuse(raw) // it is not taken over, and would be held until it is collected
-				c.cause = err
-				c.end()
-				return
-			}
-			c.nb = nb
-			own.l.born.Add(1)
-			nb.SetSession(c)
-			own.l.tune(nb)
-			own.l.rounds.after(func() {
-				if c.ended {
-					return
-				}
-				if c.closing {
-					_ = nb.Close()
-					c.closed(errClosedEarly)
-					return
-				}
-				if _, err := own.l.engine.AddConn(nb); err != nil {
-					c.closed(err)
-					return
-				}
-				c.h.Opened() // only now: nbio can't write before it knows the connection
-				c.takeIn(nb)
-			})
-		})
 	}
 }
 
+// afterFailure goes on after an accept that failed. Where descriptors are used up each connection that comes is told so, in turn, with one
+// that is kept back; where there is none left the rest waits in the backlog until some are given back. It returns a connection that can be
+// served after all.
+func (own *listener) afterFailure(err error) net.Conn {
+	if noDescriptors(err) {
+		if raw, done := own.turnAway(); done {
+			return raw
+		}
+	}
+	time.Sleep(acceptPause)
+	return nil
+}
+
+// take hands a connection to the poller, and opens it once no event of an earlier holder of its descriptor can come any more.
+func (own *listener) take(raw net.Conn, accept func(eventloop.Conn) eventloop.Handler) {
+	c := &conn{l: own.l, accepted: true}
+	c.h = accept(c)
+	nb, err := ownOnly(raw)
+	if err != nil {
+		go own.l.refuse(raw) // it is not taken over, and would be held until it is collected
+		c.cause = err
+		c.end()
+		return
+	}
+	c.nb = nb
+	own.l.born.Add(1)
+	nb.SetSession(c)
+	own.l.tune(nb)
+	own.l.rounds.after(func() { own.open(c) })
+}
+
+// open tells the handler that its connection is open, unless that was closed meanwhile.
+func (own *listener) open(c *conn) {
+	if c.ended {
+		return
+	}
+	if c.closing {
+		_ = c.nb.Close()
+		c.closed(errClosedEarly)
+		return
+	}
+	if _, err := own.l.engine.AddConn(c.nb); err != nil {
+		c.closed(err)
+		return
+	}
+	c.h.Opened() // only now: nbio can't write before it knows the connection
+	c.takeIn(c.nb)
+}
+
 // Addr implements eventloop.Listener.
 func (own *listener) Addr() string { return own.ln.Addr().String() }
 
