--- a/internal/testbed/soak/troubles.go
+++ b/internal/testbed/soak/troubles.go
@@ -18,6 +18,7 @@
 // Texts of troubles that the audit knows.
 const (
 	cutOffText          = "cut off from the hosts"
+	lateText            = "connections come up late"
 	discoverySilentText = "discovery silent"
 )
 
@@ -97,7 +98,9 @@
 		return true
 	}},
 	{"connections to hosts come up late", func(r *run, lasts time.Duration) bool {
-		pick(r.chance, r.proxies).order("late %s", lasts)
+		d := r.chance.Intn(len(r.proxies))
+		r.begin(Event{Text: lateText, Dispatcher: fmt.Sprint(d + 1)}, lasts)
+		r.proxies[d].order("late %s", lasts)
 		return true
 	}},
 	{"bytes come in pieces", func(r *run, lasts time.Duration) bool {
