--- a/internal/platform/launch/run.go
+++ b/internal/platform/launch/run.go
@@ -109,6 +109,7 @@
 			p.end(err)
 			return
 		}
+		p.log.Warn().Err(err).Msg("can't listen for the moment")
 		p.loop.After(startPause, func() { p.listen(address, since) })
 		return
 	}
