--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -519,7 +519,8 @@
 		}
 		d.finish(g, nil)
 	case l.started:
-		d.giveUp(g, ClosedBehind) // ended without closing, as when our cancel crossed its start: an answer is still owed
+		// It ended without closing, as when our cancel crossed its start: an answer is still owed.
+		d.giveUp(g, ClosedBehind)
 	default:
 		l.then(how, note)
 	}
