Read again: early start is checked after the shutdown too, soak and tests share their steps

The guard's page promised a check that nothing passes on after the shutdown, and only the start was looked at; both are now. Taking a process's descriptors stood in the soak and in a test of launch, accepting three times in the soak's stand-ins: once each now.

--- a/internal/platform/launch/descriptors_test.go
+++ b/internal/platform/launch/descriptors_test.go
@@ -14,7 +14,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
+
+	"plumspindle/internal/testbed/syscallfaults"
 )
 
 // TestMain is also the dispatcher that runs as a process of its own, where a test has something done to the process.
@@ -72,26 +73,6 @@
 	}
 }
 
-// noDescriptors leaves a process without any descriptor but those that it has.
-func noDescriptors(t *testing.T, pid int) {
-	t.Helper()
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	in := map[string]bool{}
-	for _, e := range entries {
-		in[e.Name()] = true
-	}
-	free := uint64(0)
-	for in[fmt.Sprint(free)] {
-		free++
-	}
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: free, Max: 20000}, nil); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // TestDiscoveryWithoutDescriptors: a dispatcher whose clients hold all descriptors goes on hearing what discovery has to tell: it reads a
 // new configuration, follows it, and opens a watch anew that was reset.
 func TestDiscoveryWithoutDescriptors(t *testing.T) {
@@ -134,7 +115,9 @@
 			t.Fatal(err)
 		}
 	}
-	noDescriptors(t, child.Process.Pid)
+	if err := syscallfaults.NoDescriptors(child.Process.Pid); err != nil {
+		t.Fatal(err)
+	}
 	for range 20 { // they wait for a descriptor, and take any that is let go of
 		c, err := net.Dial("tcp", listen)
 		if err != nil {
--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -46,6 +46,9 @@
 	if !d.informed() {
 		d.guard.Violated(guard.Violation{Rule: guard.EarlyStart, Request: client.ID, Detail: "taken before discovery was heard"})
 	}
+	if d.lastActive > 0 {
+		d.guard.Violated(guard.Violation{Rule: guard.EarlyStart, Request: client.ID, Detail: "passed on after the shutdown"})
+	}
 	c := d.settings.Place.Classes[class]
 	return d.guard.Begin(guard.Terms{ID: client.ID, Repeats: repeats[c.Effect], Window: c.Window, Deadline: client.ReceivedAt + client.Timeout})
 }
--- a/internal/testbed/soak/discovery.go
+++ b/internal/testbed/soak/discovery.go
@@ -30,19 +30,9 @@
 func runDiscovery(r *role) (func(string, []string), error) {
 	d := &discovery{role: r, version: 1, entries: map[string]string{}, watches: map[*watch]bool{}}
 	for i, address := range r.Listen {
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
+		if err := listen(address, func(c net.Conn) { d.serve(c, i) }); err != nil {
 			return nil, err
 		}
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go d.serve(c, i)
-			}
-		}()
 	}
 	go func() {
 		for range time.Tick(500 * time.Millisecond) {
--- a/internal/testbed/soak/host.go
+++ b/internal/testbed/soak/host.go
@@ -24,19 +24,9 @@
 
 func runHost(r *role) (func(string, []string), error) {
 	h := &host{role: r}
-	ln, err := net.Listen("tcp", r.Listen[0])
-	if err != nil {
+	if err := listen(r.Listen[0], h.serve); err != nil {
 		return nil, err
 	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(c)
-		}
-	}()
 	return func(order string, arguments []string) {
 		until := now() + span(arguments, 0).Microseconds()
 		switch order {
--- a/internal/testbed/soak/proxy.go
+++ b/internal/testbed/soak/proxy.go
@@ -24,19 +24,9 @@
 func runProxy(r *role) (func(string, []string), error) {
 	p := &proxy{role: r, open: map[net.Conn]bool{}}
 	for i, address := range r.Listen {
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
+		if err := listen(address, func(c net.Conn) { p.carry(c, r.Targets[i]) }); err != nil {
 			return nil, err
 		}
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go p.carry(c, r.Targets[i])
-			}
-		}()
 	}
 	return func(order string, arguments []string) {
 		until := now() + span(arguments, 0).Microseconds()
--- a/internal/testbed/soak/role.go
+++ b/internal/testbed/soak/role.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"strings"
 	"sync"
@@ -94,6 +95,24 @@
 	return true
 }
 
+// listen serves each connection that comes to an address.
+func listen(address string, serve func(net.Conn)) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return nil
+}
+
 // span reads a duration of an order.
 func span(arguments []string, at int) time.Duration {
 	if at >= len(arguments) {
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -12,8 +12,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"plumspindle/internal/testbed/syscallfaults"
 )
 
@@ -380,21 +378,9 @@
 
 // fewDescriptors leaves a process only those that it has, for a while.
 func fewDescriptors(pid int, lasts time.Duration) error {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	if err != nil {
-		return err
-	}
-	in := map[string]bool{}
-	for _, e := range entries {
-		in[e.Name()] = true
-	}
-	free := uint64(0)
-	for in[fmt.Sprint(free)] {
-		free++
-	}
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: free, Max: 20000}, nil); err != nil {
+	if err := syscallfaults.NoDescriptors(pid); err != nil {
 		return err
 	}
-	time.AfterFunc(lasts, func() { _ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: descriptors, Max: 20000}, nil) })
+	time.AfterFunc(lasts, func() { _ = syscallfaults.LimitDescriptors(pid, descriptors) })
 	return nil
 }
--- a/scheduler/guard.go
+++ b/scheduler/guard.go
@@ -6,8 +6,8 @@
 // stays 0 unless a decision is wrong.
 func (d *Dispatcher) Violations() int { return d.violations }
 
-// refuse looks at an attempt once more where it is sent, whatever chose it: the rules on repeats, on hosts that
-// want nothing new and on cold hosts bind on every path.
+// refuse looks at an attempt once more where it is sent, whatever chose it: the rules on repeats, on hosts
+// that want nothing new and on cold hosts bind on every path.
 func (d *Dispatcher) refuse(g *request, h *host) bool {
 	why := ""
 	switch {
