Admin: an empty name in a path matches no route, so a tenant's key sees no other tenant

Cause: {name} in a route matched an empty segment; getTenantUsage took the empty name for all tenants, and the check of the key let an empty name pass (internal/admin/routes.go: matches, route). Change: a variable matches only a segment that is not empty; tenants//usage is an unknown URL for every key. The test also asks for two further paths and as an operator.

--- a/internal/admin/changes_test.go
+++ b/internal/admin/changes_test.go
@@ -103,9 +103,12 @@
 	e.addTenant("a", `{}`)
 	e.addTenant("b", `{}`)
 	adminKey := e.must(201, "POST", "tenants/a/keys", `{"scopes":["admin"]}`).Get("key").String()
-	if c := e.call(adminKey, "GET", "tenants//usage", ""); c.head.Status != 404 {
-		t.Errorf("got %d, want 404: %s", c.head.Status, c.body)
+	for _, path := range []string{"tenants//usage", "tenants//keys", "tenants//"} {
+		if c := e.call(adminKey, "GET", path, ""); c.head.Status != 404 {
+			t.Errorf("%s: got %d, want 404: %s", path, c.head.Status, c.body)
+		}
 	}
+	e.must(404, "GET", "tenants//usage", "") // nor do operators get all tenants by it
 }
 
 // The audit log and the list of tenants come in pages that say where the next one begins.
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -9,7 +9,8 @@
 // route is one call of the API.
 type route struct {
 	method string
-	// pattern is the path below the prefix. {name} and {id} stand for any segment.
+	// pattern is the path below the prefix. {name} and {id} stand for any segment that is not empty: an empty name is no
+	// tenant's, and handlers would take it for all tenants.
 	pattern string
 	handle  func(*Server, *request) response
 	// forTenants routes may be called by a TenantAdmin, for its own tenant.
@@ -51,7 +52,8 @@
 		return false
 	}
 	for i, segment := range pattern {
-		if !strings.HasPrefix(segment, "{") && segment != r.path[i] {
+		isVariable := strings.HasPrefix(segment, "{")
+		if isVariable && r.path[i] == "" || !isVariable && segment != r.path[i] {
 			return false
 		}
 	}
