Platform: a state lease that runs out, and each failed request, are logged at info

Cause: the report's logs have no line on a request or a state; at info nothing says that a lease ran out with its attempt unanswered, nor when the endpoint was last heard. Change: 'state lease expired' with request id, attempt, endpoint, whether it has left and since when the endpoint is silent; lease_expiries in the summary; start and end of each lease at debug; 'request failed' at info. No behaviour changes.

--- a/internal/platform/executor.go
+++ b/internal/platform/executor.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"github.com/rs/zerolog"
+
 	"plumspindle/internal/platform/guard"
 	"plumspindle/internal/schedulerhost"
 	"plumspindle/scheduler"
@@ -13,7 +15,7 @@
 		d.Rejected++
 		req.ledger.Answered(d.loop.Now(), guard.Rejected)
 		req.client.response.Reject(retryAfter)
-		d.afterAnswer(req, "request rejected")
+		d.afterAnswer(req, zerolog.DebugLevel, "request rejected")
 	}
 }
 
@@ -24,7 +26,7 @@
 		d.Failed++
 		req.ledger.Answered(d.loop.Now(), guard.Failed)
 		req.client.response.Fail()
-		d.afterAnswer(req, "request failed")
+		d.afterAnswer(req, zerolog.InfoLevel, "request failed")
 	}
 }
 
@@ -35,9 +37,9 @@
 	}
 }
 
-func (d *Dispatcher) afterAnswer(req *request, message string) {
+func (d *Dispatcher) afterAnswer(req *request, level zerolog.Level, message string) {
 	d.Reasons[req.client.reason]++
-	d.debugRequest(req).Str("class", req.client.Class).Stringer("reason", req.client.reason).
+	d.logRequest(req, level).Str("class", req.client.Class).Stringer("reason", req.client.reason).
 		Int("attempts", int(req.attempt.count)).Msg(message)
 	d.cancelUnsent(req)
 	d.loop.Defer(func() { d.finishIfIdle(req) })
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -18,6 +18,7 @@
 	active      bool
 	unconfirmed bool                 // the prefill that may have left the state was not answered
 	endpoint    scheduler.EndpointID // the likely one
+	startedAt   eventloop.Micros
 	expiry      eventloop.Timeout
 	expiresAt   eventloop.Micros
 	confirming  bool   // whether an attempt has reached its endpoint is looked at once more
@@ -52,6 +53,9 @@
 // startLease notes that an endpoint may hold a state for the request from now on, for as long as a state may wait.
 func (d *Dispatcher) startLease(req *request) {
 	req.lease.active = true
+	req.lease.startedAt = d.loop.Now()
+	d.debugRequest(req).Str("endpoint", d.endpoints[req.lease.endpoint].Name).
+		Bool("unconfirmed", req.lease.unconfirmed).Msg("state lease started")
 	req.ledger.LeaseStarted(d.loop.Now())
 	req.lease.expiresAt = d.loop.Now() + eventloop.Micros(leaseShare*float64(d.settings.StateTimeout))
 	d.scheduleLeaseExpiry(req)
@@ -68,7 +72,11 @@
 // decode attempt.
 func (d *Dispatcher) leaseExpired(req *request) {
 	inFlight, number := req.attempt.inFlight, req.attempt.number()
-	if !req.lease.active || req.lease.releasing || req.attempt.cancelling || inFlight == nil || !inFlight.Undelivered() {
+	if !req.lease.active || req.lease.releasing || req.attempt.cancelling || inFlight == nil {
+		return
+	}
+	d.logLeaseExpired(req)
+	if !inFlight.Undelivered() {
 		return
 	}
 	unsent := inFlight.Unsent()
@@ -96,9 +104,12 @@
 func (d *Dispatcher) release(req *request) {
 	req.lease.active, req.lease.releasing = false, true
 	req.lease.expiry.Clear()
-	d.debugRequest(req).Str("endpoint", d.endpoints[req.lease.endpoint].Name).Msg("releasing state")
-	d.upstream.Release(req.client.ID, req.lease.endpoint, func(bool) {
+	d.debugRequest(req).Str("endpoint", d.endpoints[req.lease.endpoint].Name).
+		Int64("held_us", int64(d.loop.Now()-req.lease.startedAt)).Msg("releasing state")
+	d.upstream.Release(req.client.ID, req.lease.endpoint, func(confirmed bool) {
 		req.lease.releasing = false
+		d.debugRequest(req).Bool("confirmed", confirmed).
+			Int64("held_us", int64(d.loop.Now()-req.lease.startedAt)).Msg("state released")
 		req.ledger.LeaseReleased(d.loop.Now())
 		if start := req.lease.waiting; start != nil {
 			req.lease.waiting = nil
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -7,12 +7,14 @@
 	"plumspindle/internal/platform/guard"
 )
 
-// debugRequest begins a log line on a request.
-func (d *Dispatcher) debugRequest(req *request) *zerolog.Event {
-	return d.config.Log.Debug().Str("request_id", req.client.ID).
+// logRequest begins a log line on a request.
+func (d *Dispatcher) logRequest(req *request, level zerolog.Level) *zerolog.Event {
+	return d.config.Log.WithLevel(level).Str("request_id", req.client.ID).
 		Int64("elapsed_us", int64(d.loop.Now()-req.client.ReceivedAt))
 }
 
+func (d *Dispatcher) debugRequest(req *request) *zerolog.Event { return d.logRequest(req, zerolog.DebugLevel) }
+
 // debugAttempt begins a log line on a request's last attempt.
 func (d *Dispatcher) debugAttempt(req *request) *zerolog.Event {
 	return d.debugRequest(req).Int("attempt", int(req.attempt.number())).
@@ -39,6 +41,24 @@
 		Msg("attempt ended")
 }
 
+// logLeaseExpired logs an attempt that has not been answered although the lease of the state that it was to fetch has
+// run out, with what is known of the attempt and of its endpoint.
+func (d *Dispatcher) logLeaseExpired(req *request) {
+	d.LeaseExpiries++
+	now := d.loop.Now()
+	event := d.logRequest(req, zerolog.InfoLevel).
+		Int("attempt", int(req.attempt.number())).
+		Str("endpoint", d.endpoints[req.attempt.endpoint].Name).
+		Bool("prefill", req.attempt.prefill).
+		Bool("unsent", req.attempt.inFlight.Unsent()).
+		Int64("ordered_us_ago", int64(now-req.attempt.orderedAt)).
+		Int64("held_us", int64(now-req.lease.startedAt))
+	if last := d.engine.LastReceived(req.attempt.endpoint); last > 0 {
+		event.Int64("heard_us_ago", int64(now-last)) // from the endpoint, on any connection
+	}
+	event.Msg("state lease expired")
+}
+
 func (d *Dispatcher) logViolation(v *guard.Violation) {
 	d.config.Log.Error().Stringer("rule", v.Rule).Str("request_id", v.RequestID).Str("endpoint", v.Endpoint).
 		Bool("prevented", v.Prevented).Str("reason", v.Detail).Msg(guard.ViolationMessage)
--- a/internal/platform/summary.go
+++ b/internal/platform/summary.go
@@ -23,6 +23,7 @@
 	Failed            uint64
 	ClientDisconnects uint64
 	Attempts          uint64
+	LeaseExpiries     uint64        // of KV states, with an attempt in flight that was not answered
 	Outcomes          OutcomeCounts // of attempts
 	Reasons           ReasonCounts  // of rejections and failures
 }
@@ -93,7 +94,8 @@
 		Uint64("rejected", c.Rejected).
 		Uint64("failed", c.Failed).
 		Uint64("client_disconnects", c.ClientDisconnects).
-		Uint64("attempts_made", c.Attempts)
+		Uint64("attempts_made", c.Attempts).
+		Uint64("lease_expiries", c.LeaseExpiries)
 	e.Dict("outcomes", countsByName(c.Outcomes[:], func(i int) string { return scheduler.Outcome(i).String() }))
 	e.Dict("reasons", countsByName(c.Reasons[:], func(i int) string { return scheduler.Reason(i).String() }))
 }
