--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -13,7 +13,9 @@
 		Int64("elapsed_us", int64(d.loop.Now()-req.client.ReceivedAt))
 }
 
-func (d *Dispatcher) debugRequest(req *request) *zerolog.Event { return d.logRequest(req, zerolog.DebugLevel) }
+func (d *Dispatcher) debugRequest(req *request) *zerolog.Event {
+	return d.logRequest(req, zerolog.DebugLevel)
+}
 
 // debugAttempt begins a log line on a request's last attempt.
 func (d *Dispatcher) debugAttempt(req *request) *zerolog.Event {
--- a/internal/testbed/soak/audit.go
+++ b/internal/testbed/soak/audit.go
@@ -37,10 +37,11 @@
 
 // requestTrail is all that was seen of one request.
 type requestTrail struct {
-	id                 string
-	sent, left, final  *Event
-	arrived, ran       []Event
-	reserved, released []Event
+	id                string
+	sent, left, final *Event
+	arrived, ran      []Event
+	reserved          []Event
+	uses              []Event // what ends or renews the time of a state: decodes that arrived, refusals, releases
 }
 
 // Audit checks the rules against what all processes saw.
@@ -82,12 +83,16 @@
 		t.final = event
 	case Arrived:
 		t.arrived = append(t.arrived, *event)
+		if event.Text != prefillKind {
+			t.uses = append(t.uses, *event)
+		}
 	case Ran:
 		t.ran = append(t.ran, *event)
+		t.uses = append(t.uses, *event)
 	case Reserved:
 		t.reserved = append(t.reserved, *event)
-	case Released:
-		t.released = append(t.released, *event)
+	case Released, Refused:
+		t.uses = append(t.uses, *event)
 	}
 }
 
@@ -154,7 +159,7 @@
 	}
 	first := t.ran[0]
 	for _, again := range t.ran[1:] {
-		after := time.Duration(again.Value-first.Value) * time.Microsecond
+		after := time.Duration(a.writtenBy(again.Endpoint, again.Value)-first.Value) * time.Microsecond
 		if t.sent.Class == nonIdempotentClass || after > repeatWindow {
 			a.addFinding(ruleRepeatedEffect, "%s (%s) ran at %s, and %d ms later at %s",
 				t.id, t.sent.Class, first.Endpoint, after.Milliseconds(), again.Endpoint)
@@ -170,11 +175,12 @@
 // left.
 func (a *Audit) checkAttempts(t *requestTrail) {
 	for _, arrived := range t.arrived {
-		if t.left != nil && arrived.At > t.left.At+(disconnectGrace+slack).Microseconds() {
+		writtenBy := a.writtenBy(arrived.Endpoint, arrived.At)
+		if t.left != nil && writtenBy > t.left.At+(disconnectGrace+slack).Microseconds() {
 			a.addFinding(ruleClientGone, "%s arrived at %s %d ms after its client closed",
-				t.id, arrived.Endpoint, (arrived.At-t.left.At)/1000)
+				t.id, arrived.Endpoint, (writtenBy-t.left.At)/1000)
 		}
-		left := t.sent.Value + deadline.Microseconds() - arrived.At
+		left := t.sent.Value + deadline.Microseconds() - writtenBy
 		allowed := left + (deadlineSlack + slack).Microseconds() + a.proxyDelay(arrived.Dispatcher, arrived.At)
 		if arrived.Value > allowed {
 			a.addFinding(ruleDeadline, "%s gave %s %d ms, %d ms are left",
@@ -183,35 +189,46 @@
 	}
 }
 
-// checkReservedState checks that what a prefill leaves is used or released in time, unless the dispatcher was killed or
-// could reach no endpoint, or the endpoint itself was killed.
+// checkReservedState checks that what a prefill leaves is used or released in time.
 func (a *Audit) checkReservedState(t *requestTrail) {
 	for _, reserved := range t.reserved {
-		latest := reserved.At + maxStateTime.Microseconds()
-		end := t.endOfState(reserved)
-		switch {
-		case end > 0 && end <= latest:
-		case a.endpointKilled(reserved.Endpoint, reserved.At, latest):
-		case a.dispatcherKilled(t.sent.Dispatcher, reserved.At-deadline.Microseconds(), latest):
-		case a.wasCutOff(reserved.Dispatcher, reserved.At, latest):
-		case end == 0:
-			a.addFinding(ruleState, "%s (%s): what %s reserved was never used or released",
-				t.id, t.sent.Class, reserved.Endpoint)
-		default:
-			a.addFinding(ruleState, "%s (%s): what %s reserved was used or released after %d ms",
-				t.id, t.sent.Class, reserved.Endpoint, (end-reserved.At)/1000)
+		idleFrom, inFlight := reserved.At, false
+		for _, use := range t.uses {
+			if use.At < reserved.At {
+				continue
+			}
+			if !inFlight {
+				a.checkIdleState(t, reserved, idleFrom, use.At)
+			}
+			if use.Kind == Released || use.Kind == Ran {
+				idleFrom = 0
+				break
+			}
+			idleFrom, inFlight = use.At, use.Kind == Arrived
+		}
+		if idleFrom > 0 && !inFlight {
+			a.checkIdleState(t, reserved, idleFrom, 0)
 		}
 	}
 }
 
-// endOfState is when what a prefill left was first used or released; 0: never.
-func (t *requestTrail) endOfState(reserved Event) (end int64) {
-	for _, event := range slices.Concat(t.arrived, t.released) {
-		if event.At >= reserved.At && event.Text != prefillKind && (end == 0 || event.At < end) {
-			end = event.At
-		}
+// checkIdleState checks the time in which a state was reserved and no decode of its request had arrived, from one event
+// to another; to is 0 where there is no other. There is an excuse where the dispatcher was killed or could reach no
+// endpoint, or the endpoint itself was killed.
+func (a *Audit) checkIdleState(t *requestTrail, reserved Event, from, to int64) {
+	latest := from + maxStateTime.Microseconds()
+	switch {
+	case to > 0 && to <= latest:
+	case a.endpointKilled(reserved.Endpoint, reserved.At, latest):
+	case a.dispatcherKilled(t.sent.Dispatcher, reserved.At-deadline.Microseconds(), latest):
+	case a.wasCutOff(reserved.Dispatcher, from, latest):
+	case to == 0:
+		a.addFinding(ruleState, "%s (%s): what %s reserved was never used or released",
+			t.id, t.sent.Class, reserved.Endpoint)
+	default:
+		a.addFinding(ruleState, "%s (%s): what %s reserved was used or released after %d ms",
+			t.id, t.sent.Class, reserved.Endpoint, (to-from)/1000)
 	}
-	return end
 }
 
 // checkDrains checks that nothing new goes to an endpoint that drains once that is known.
@@ -237,7 +254,8 @@
 			if notified := notifiedAt[key]; notified > 0 {
 				knownAt = min(knownAt, notified)
 			}
-			if after := event.At - knownAt; after > (drainGrace + slack).Microseconds() {
+			after := a.writtenBy(event.Endpoint, event.At) - knownAt
+			if after > (drainGrace + slack).Microseconds() {
 				a.addFinding(ruleDrain, "%s arrived at %s %d ms after dispatcher %s was notified of its drain",
 					event.ID, event.Endpoint, after/1000, event.Dispatcher)
 			}
--- a/internal/testbed/soak/audit_test.go
+++ b/internal/testbed/soak/audit_test.go
@@ -35,6 +35,31 @@
 	}
 }
 
+// stoppedFor has the endpoint of the decode stopped before the decode is written to it, for a while in ms: it arrives,
+// runs and is answered only then.
+func stoppedFor(span int64) change {
+	return func(trail []Event) []Event {
+		for i := range trail {
+			if trail[i].At > 1020*ms {
+				trail[i].At += span * ms
+			}
+		}
+		return append(trail, Event{At: 1022 * ms, Kind: FaultBegan, Text: notRunningText, Endpoint: "h", Value: span * ms})
+	}
+}
+
+// refusedAnd has the decode's endpoint decline it, and adds something else.
+func refusedAnd(events ...Event) change {
+	return func(trail []Event) []Event {
+		for i := range trail {
+			if trail[i].Kind == Ran {
+				trail[i].Kind = Refused
+			}
+		}
+		return append(trail, events...)
+	}
+}
+
 func killedAt1150(dispatcher string) Event {
 	return Event{At: 1150 * ms, Kind: Killed, Dispatcher: dispatcher}
 }
@@ -83,6 +108,11 @@
 		{"state stays reserved", nonIdempotentClass, add(reserved), ruleState},
 		{"state is released", nonIdempotentClass, add(reserved, releasedAt(1300)), ""},
 		{"state is released late", nonIdempotentClass, add(reserved, releasedAt(2500)), ruleState},
+		{"state is taken late by an endpoint that was stopped", nonIdempotentClass, stoppedFor(1500), ruleState},
+		{"state is taken by an endpoint that was stopped for a moment", nonIdempotentClass, stoppedFor(500), ""},
+		{"state is refused and stays", nonIdempotentClass, refusedAnd(), ruleState},
+		{"state is refused and released", nonIdempotentClass, refusedAnd(releasedAt(1400)), ""},
+		{"state is refused and released late", nonIdempotentClass, refusedAnd(releasedAt(2500)), ruleState},
 		{"state stays reserved while cut off", nonIdempotentClass, add(reserved, cutOff), ""},
 		{"sent to an endpoint that drains", nonIdempotentClass, add(drained, notified("1")), ruleDrain},
 		{"another dispatcher was notified", nonIdempotentClass, add(drained, notified("2")), ""},
--- a/internal/testbed/soak/endpoint.go
+++ b/internal/testbed/soak/endpoint.go
@@ -104,21 +104,26 @@
 // answer answers a request; it returns false where the connection must not be used again.
 func (e *endpoint) answer(request *http.Request, call exchange) bool {
 	if request.Method == http.MethodDelete {
+		e.waitWhileSilent()
 		id := strings.TrimPrefix(request.URL.Path, "/v1/holds/")
 		e.record.add(Event{Kind: Released, ID: id, Endpoint: e.Name, Dispatcher: call.dispatcher})
-		e.waitWhileSilent()
 		return call.write(releasedAnswer)
 	}
+	e.waitWhileSilent()
+	if isClosedByPeer(call.conn) { // it was given up while this endpoint did not run
+		return false
+	}
 	call.id, call.arrivedAt = request.Header.Get("Req-Id"), now()
 	left, _ := time.ParseDuration(strings.Replace(request.Header.Get("Req-Deadline"), "u", "us", 1))
 	e.record.add(Event{At: call.arrivedAt, Kind: Arrived, ID: call.id, Endpoint: e.Name, Dispatcher: call.dispatcher,
 		Value: left.Microseconds(), Text: e.Kind})
-	e.waitWhileSilent()
 	if now() < e.declineUntil.Load() || e.draw(declines) == 0 {
+		e.recordRefused(call)
 		return call.write(declinedAnswer)
 	}
 	time.Sleep(e.drawDuration(30 * time.Millisecond))
 	if isClosedByPeer(call.conn) { // what was abandoned is not run
+		e.recordRefused(call)
 		return false
 	}
 	if e.Kind == prefillKind {
@@ -127,6 +132,13 @@
 	return e.decode(call)
 }
 
+// recordRefused records that a decode does not take the state that waits for it.
+func (e *endpoint) recordRefused(call exchange) {
+	if e.Kind == decodeKind {
+		e.record.add(Event{Kind: Refused, ID: call.id, Endpoint: e.Name, Dispatcher: call.dispatcher})
+	}
+}
+
 // waitWhileSilent does nothing for as long as the endpoint hangs.
 func (e *endpoint) waitWhileSilent() {
 	for now() < e.silentUntil.Load() {
--- a/internal/testbed/soak/excuses.go
+++ b/internal/testbed/soak/excuses.go
@@ -38,6 +38,19 @@
 	return 0
 }
 
+// writtenBy is the earliest time at which a request may have been written that a process took at some time: one that
+// did not run took it later.
+func (a *Audit) writtenBy(endpoint string, at int64) int64 {
+	earliest := at
+	for _, event := range a.events {
+		if event.Kind == FaultBegan && event.Text == notRunningText && event.Endpoint == endpoint &&
+			event.At <= at && event.At+event.Value+slack.Microseconds() >= at {
+			earliest = min(earliest, event.At)
+		}
+	}
+	return earliest
+}
+
 // discoverySilence is for how long discovery published nothing from a time on.
 func (a *Audit) discoverySilence(at int64) (longest int64) {
 	for _, event := range a.events {
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -14,6 +14,7 @@
 	cutOffText          = "cut off from the hosts"
 	lateText            = "connections come up late"
 	discoverySilentText = "discovery silent"
+	notRunningText      = "an endpoint does not run"
 )
 
 const (
@@ -30,6 +31,33 @@
 	inject func(r *run, duration time.Duration) bool
 }
 
+// stoppedOf says which part of the endpoints of a kind go on while the others are stopped: one of so many.
+const stoppedOf = 5
+
+// stopEndpoints stops the processes of most endpoints of a kind for a while. Their machine goes on: it confirms what
+// they are sent, and keeps their connections open.
+func (r *run) stopEndpoints(kind string, duration time.Duration) bool {
+	var ofKind []int
+	for _, endpoint := range r.random.Perm(len(r.endpoints)) {
+		if r.kindOf(endpoint) == kind {
+			ofKind = append(ofKind, endpoint)
+		}
+	}
+	running := (len(ofKind) + stoppedOf - 1) / stoppedOf
+	for _, endpoint := range ofKind[running:] {
+		r.stopEndpoint(endpoint, duration)
+	}
+	return len(ofKind) > running
+}
+
+// stopEndpoint stops the process of an endpoint for a while.
+func (r *run) stopEndpoint(endpoint int, duration time.Duration) {
+	r.recordFault(Event{Text: notRunningText, Endpoint: endpointName(endpoint)}, duration)
+	process := r.endpoints[endpoint].command.Process
+	_ = process.Signal(syscall.SIGSTOP) // it may have been killed
+	time.AfterFunc(duration, func() { _ = process.Signal(syscall.SIGCONT) })
+}
+
 // faults are all kinds of fault; their names are part of a report.
 var faults = []fault{
 	{"a dispatcher is stopped and started again", stopDispatcher},
@@ -56,7 +84,9 @@
 		return true
 	}},
 	{"a host hangs", func(r *run, duration time.Duration) bool {
-		pick(r.random, r.endpoints).order("%s %s", orderSilent, duration)
+		endpoint := r.random.Intn(len(r.endpoints))
+		r.recordFault(Event{Text: notRunningText, Endpoint: endpointName(endpoint)}, duration)
+		r.endpoints[endpoint].order("%s %s", orderSilent, duration)
 		return true
 	}},
 	{"a host declines all", func(r *run, duration time.Duration) bool {
@@ -92,7 +122,6 @@
 			r.report.Faults[next.name]++
 		}
 	}
-	r.stops.Wait()
 }
 
 // recordFault records a fault for the audit.
--- a/internal/testbed/soak/record.go
+++ b/internal/testbed/soak/record.go
@@ -16,7 +16,8 @@
 
 // What happens at an endpoint.
 const (
-	Arrived  Kind = "arrived"  // a request's last byte
+	Arrived  Kind = "arrived"  // a request's last byte, at a process that runs
+	Refused  Kind = "refused"  // a decode that had arrived was declined, failed or found to be given up
 	Ran      Kind = "ran"      // its effects took place; Value is when it arrived, from which a window for repeats counts
 	Reserved Kind = "held"     // what a prefill left
 	Released Kind = "released" // by a release
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -82,8 +82,11 @@
 	drains      map[string]int // by the endpoints' kind
 }
 
-// Run runs a plan and judges it.
-func (p Plan) Run() (*Report, error) {
+// Run runs a plan with faults that are drawn from its seed, and judges it.
+func (p Plan) Run() (*Report, error) { return p.play((*run).injectFaults) }
+
+// play runs a plan with the faults that inject brings about, and judges it.
+func (p Plan) play(inject func(*run)) (*Report, error) {
 	current := &run{Plan: p, random: rand.New(rand.NewSource(p.Seed)), block: 2 + os.Getpid()%250,
 		startedMs: map[int]int64{}, drained: map[int]bool{}, drains: map[string]int{}}
 	current.report.Faults = map[string]int{}
@@ -95,7 +98,8 @@
 	if err := current.startAll(); err != nil {
 		return nil, err
 	}
-	current.injectFaults()
+	inject(current)
+	current.stops.Wait()
 	time.Sleep(lateAnswer + time.Second) // for the last requests to be answered
 	if err := current.endAll(); err != nil {
 		return nil, err
