Platform: a state is released in time unless an endpoint has responded, whatever the network says

Cause: the lease took a decode for taken once the other side's machine had confirmed its bytes (SIOCOUTQ), and began anew with the end of any attempt that was written (internal/platform/lease.go: leaseExpired, updateLease). Change: only a response counts. When the lease is over, an attempt that was not answered goes on and the state is released beside it; an endpoint that has taken the attempt keeps the state for it (CLEAR_STATE). When that attempt ends without a stream, the state is released once more and the scheduler is told (AttemptResult.StateReleased). A lease begins anew only with a rejection. The guard reports a state that is overdue at the time, not at its release. The soak stops hosts among its faults.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -21,7 +21,6 @@
 	reasonEndpointNotReady   = "endpoint not ready"
 	reasonReleaseTooLate     = "release took too long"
 	reasonLeaseExpired       = "lease expired before the connection was up"
-	reasonLeaseExpiredSilent = "lease expired on a silent connection"
 )
 
 // attempt is the request's attempt in flight, or its last one.
@@ -135,7 +134,8 @@
 
 // streamStarted takes the first event as proof that the endpoint has fetched the KV state.
 func (d *Dispatcher) streamStarted(req *request) {
-	req.attempt.started, req.lease.active = true, false
+	req.attempt.started = true
+	req.lease.active, req.lease.awaited = false, false
 	req.lease.expiry.Clear()
 	req.ledger.LeaseTaken()
 	req.attempt.inFlight.Started()
@@ -161,11 +161,13 @@
 	req.ledger.AttemptEnded(!result.Outcome.KnownNotRun())
 	d.Outcomes[result.Outcome]++
 	d.logResult(req, &result)
-	d.updateLease(req, &result)
+	released := d.updateLease(req, &result)
 	if a.started && !req.client.closed {
 		d.endStream(req, result.Outcome)
 	}
-	d.scheduler.AttemptEnded(d.loop.Now(), req.id, number, result.ForScheduler(req.client.closed))
+	ended := result.ForScheduler(req.client.closed)
+	ended.StateReleased = released
+	d.scheduler.AttemptEnded(d.loop.Now(), req.id, number, ended)
 	d.finishIfIdle(req)
 }
 
@@ -207,7 +209,6 @@
 	inFlight, number := req.attempt.inFlight, req.attempt.number()
 	if inFlight != nil {
 		inFlight.Cancel()
-		result.Undelivered = inFlight.Undelivered()
 	}
 	req.lease.waiting = nil
 	d.loop.Defer(func() {
--- a/internal/platform/guard/guard_test.go
+++ b/internal/platform/guard/guard_test.go
@@ -160,6 +160,19 @@
 		l.LeaseStarted(10 * ms)
 		l.LeaseReleased(811 * ms)
 	}, true},
+	{"not released in time", RetryAlways, func(l ledger) {
+		l.LeaseStarted(10 * ms)
+		l.LeaseOverdue(811 * ms)
+	}, true},
+	{"looked at in time", RetryAlways, func(l ledger) {
+		l.LeaseStarted(10 * ms)
+		l.LeaseOverdue(810 * ms)
+	}, false},
+	{"fetched before it was overdue", RetryAlways, func(l ledger) {
+		l.LeaseStarted(10 * ms)
+		l.LeaseTaken()
+		l.LeaseOverdue(900 * ms)
+	}, false},
 }
 
 var oneAnswerTests = []ruleTest{
--- a/internal/platform/guard/request.go
+++ b/internal/platform/guard/request.go
@@ -161,9 +161,18 @@
 	}
 }
 
-// LeaseStarted notes that an endpoint may hold a KV state for the request from now on.
+// LeaseStarted notes that an endpoint may hold a KV state for the request from now on, for all that is known: a caller
+// calls it again only for what an endpoint's response, or a release, has proved.
 func (r *Request) LeaseStarted(now eventloop.Micros) { r.leasedAt = now }
 
+// LeaseOverdue reports a state that is still held although its lease is over.
+func (r *Request) LeaseOverdue(now eventloop.Micros) {
+	if elapsed := now - r.leasedAt; r.leasedAt > 0 && elapsed > r.guard.limits.StateLease {
+		r.violated(StateLease, nil, "held for %d us, and not released yet", elapsed)
+		r.leasedAt = 0
+	}
+}
+
 // LeaseTaken notes that the state has been fetched.
 func (r *Request) LeaseTaken() { r.leasedAt = 0 }
 
--- a/internal/platform/ledger.go
+++ b/internal/platform/ledger.go
@@ -26,7 +26,7 @@
 		AnswerSlack:     answerSlack,
 		DisconnectSlack: disconnectSlack,
 		DeadlineSlack:   deadlineSlack,
-		StateLease:      d.settings.StateTimeout + leaseSlack,
+		StateLease:      d.stateLimit(),
 	}
 	logged := 0
 	return guard.New(limits, func(v guard.Violation) {
@@ -40,6 +40,9 @@
 	})
 }
 
+// stateLimit is the time by which a KV state has to be fetched or released.
+func (d *Dispatcher) stateLimit() eventloop.Micros { return d.settings.StateTimeout + leaseSlack }
+
 var retryPolicies = map[scheduler.Effect]guard.RetryPolicy{
 	scheduler.Idempotent:    guard.RetryAlways,
 	scheduler.Deduplicated:  guard.RetryWithinWindow,
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -37,7 +37,6 @@
 		Str("reason", result.Reason).
 		Int("cached_tokens", result.CachedTokens).
 		Bool("state_missing", result.StateMissing).
-		Bool("undelivered", result.Undelivered).
 		Int64("queued_us", int64(req.attempt.orderedAt-req.client.ReceivedAt)).
 		Int64("duration_us", int64(d.loop.Now()-req.attempt.orderedAt)).
 		Msg("attempt ended")
--- a/internal/testbed/soak/excuses.go
+++ b/internal/testbed/soak/excuses.go
@@ -39,13 +39,13 @@
 }
 
 // writtenBy is the earliest time at which a request may have been written that a process took at some time: one that
-// did not run took it later.
+// did not run, or did not run again and again, took it later.
 func (a *Audit) writtenBy(endpoint string, at int64) int64 {
 	earliest := at
-	for _, event := range a.events {
+	for _, event := range slices.Backward(a.events) { // in the order of their times, so that the earlier ones come last
 		if event.Kind == FaultBegan && event.Text == notRunningText && event.Endpoint == endpoint &&
-			event.At <= at && event.At+event.Value+slack.Microseconds() >= at {
-			earliest = min(earliest, event.At)
+			event.At <= earliest && event.At+event.Value+slack.Microseconds() >= earliest {
+			earliest = event.At
 		}
 	}
 	return earliest
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -89,6 +89,9 @@
 		r.endpoints[endpoint].order("%s %s", orderSilent, duration)
 		return true
 	}},
+	{"hosts are stopped", func(r *run, duration time.Duration) bool {
+		return r.stopEndpoints(pick(r.random, []string{prefillKind, decodeKind}), duration)
+	}},
 	{"a host declines all", func(r *run, duration time.Duration) bool {
 		pick(r.random, r.endpoints).order("%s %s", orderDecline, duration)
 		return true
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -196,7 +196,8 @@
 type AttemptResult struct {
 	Outcome       Outcome
 	CachedTokens  int     // tokens of the prompt that the prefill endpoint had cached; with PrefillDone only
-	StateMissing  bool    // the decode endpoint found no state to fetch; with NoCapacity and ConnectionLost only
+	StateMissing  bool    // the decode endpoint found no state to fetch; with NoCapacity only
+	StateReleased bool    // the state's lease ran out during the decode attempt, and the state was released
 	RequestClosed bool    // the client has its final answer, or has disconnected
 	MemoryUsage   float64 // share of the endpoint's memory that is taken, or NoLoadReport
 }
--- a/scheduler/decode_placement.go
+++ b/scheduler/decode_placement.go
@@ -40,7 +40,7 @@
 
 // decodeEnded continues a request after an attempt that did not answer it.
 func (s *Scheduler) decodeEnded(req *request, ep *endpoint, res AttemptResult) {
-	if res.StateMissing && (res.Outcome == NoCapacity || res.Outcome == ConnectionLost) {
+	if res.StateReleased || res.StateMissing && res.Outcome == NoCapacity {
 		s.releaseState(req)
 	}
 	if res.Outcome != NoCapacity || !res.StateMissing { // otherwise the endpoint is not at fault, and may be the only one
