Soak: kills at the earliest time after SIGTERM, signals in series, crowds, short deadlines

Cause: the soak gave a stopping dispatcher 8.7 s, sent one signal, and had clients that leave a connection after eight requests; the users' terms are the longest deadline (3 s at most) and 0.7 s, with clients that use their connections until then. Change: SIGKILL at that time; what came over 0.7 s after SIGTERM and is unanswered then is a finding, a broken stream too. One visit in three goes on for as long as its connection is open. Up to three signals follow a SIGTERM, up to four SIGHUP come in a row; planned restarts are drawn more often. One plan in three has deadlines of 1 s, one in four a crowd where a dispatcher stops; hosts are stopped among the faults. The end of a run is as patient as before, with its finding. A host that hangs records that itself, as one that is stopped takes the order later (four false findings on the deadline, traced). The audit's table test is three tests by subject, with the same rows and three more.

--- a/internal/testbed/soak/audit.go
+++ b/internal/testbed/soak/audit.go
@@ -47,14 +47,15 @@
 // Audit checks the rules against what all processes saw.
 type Audit struct {
 	events   []Event // in the order of their times
+	deadline time.Duration
 	trails   map[string]*requestTrail
 	order    []*requestTrail // in the order of their first events
 	findings []Finding
 }
 
-// NewAudit sorts the events by time and by request.
-func NewAudit(events []Event) *Audit {
-	a := &Audit{events: events, trails: map[string]*requestTrail{}}
+// NewAudit sorts the events by time and by request; deadline is what each request states.
+func NewAudit(events []Event, deadline time.Duration) *Audit {
+	a := &Audit{events: events, deadline: deadline, trails: map[string]*requestTrail{}}
 	slices.SortStableFunc(a.events, func(x, y Event) int { return cmp.Compare(x.At, y.At) })
 	for i := range a.events {
 		if event := &a.events[i]; event.ID != "" {
@@ -125,7 +126,8 @@
 	return a.findings
 }
 
-// checkAnswer checks that there is one final answer in time, unless the dispatcher was killed.
+// checkAnswer checks that there is one final answer in time, unless the dispatcher was killed. One that is killed after
+// it was asked to stop has no excuse for what came late after that.
 func (a *Audit) checkAnswer(t *requestTrail) {
 	if t.left != nil {
 		return
@@ -134,6 +136,11 @@
 		a.addFinding(ruleOneAnswer, "%s has no end", t.id)
 		return
 	}
+	if late := a.lateAtKill(t); late > 0 && t.final.Kind != Answered {
+		a.addFinding(ruleOneAnswer, "%s (%s) came to %s %d ms after SIGTERM, and SIGKILL found it unanswered: %s",
+			t.id, t.sent.Class, t.sent.Dispatcher, late.Milliseconds(), t.final.Text)
+		return
+	}
 	took := time.Duration(t.final.At-t.sent.Value) * time.Microsecond
 	switch {
 	case t.final.Kind == Lost && a.dispatcherKilled(t.sent.Dispatcher, t.sent.At, t.final.At):
@@ -141,7 +148,7 @@
 	case t.final.Kind == Lost:
 		a.addFinding(ruleOneAnswer, "%s (%s) to %s was lost after %d ms: %s; %d attempts arrived", t.id, t.sent.Class,
 			t.sent.Dispatcher, took.Milliseconds(), t.final.Text, len(t.arrived))
-	case t.final.Kind == Answered && t.final.Status != 200 && took > lateAnswer+slack:
+	case t.final.Kind == Answered && t.final.Status != 200 && took > a.deadline+answerGrace+slack:
 		a.addFinding(ruleOneAnswer, "%s was answered %d after %d ms", t.id, t.final.Status, took.Milliseconds())
 	}
 }
@@ -180,7 +187,7 @@
 			a.addFinding(ruleClientGone, "%s arrived at %s %d ms after its client closed",
 				t.id, arrived.Endpoint, (writtenBy-t.left.At)/1000)
 		}
-		left := t.sent.Value + deadline.Microseconds() - writtenBy
+		left := t.sent.Value + a.deadline.Microseconds() - writtenBy
 		allowed := left + (deadlineSlack + slack).Microseconds() + a.proxyDelay(arrived.Dispatcher, arrived.At)
 		if arrived.Value > allowed {
 			a.addFinding(ruleDeadline, "%s gave %s %d ms, %d ms are left",
@@ -220,7 +227,7 @@
 	switch {
 	case to > 0 && to <= latest:
 	case a.endpointKilled(reserved.Endpoint, reserved.At, latest):
-	case a.dispatcherKilled(t.sent.Dispatcher, reserved.At-deadline.Microseconds(), latest):
+	case a.dispatcherKilled(t.sent.Dispatcher, reserved.At-a.deadline.Microseconds(), latest):
 	case a.wasCutOff(reserved.Dispatcher, from, latest):
 	case to == 0:
 		a.addFinding(ruleState, "%s (%s): what %s reserved was never used or released",
--- a/internal/testbed/soak/audit_test.go
+++ b/internal/testbed/soak/audit_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 )
 
 const ms = 1000 // µs
@@ -60,6 +61,11 @@
 	}
 }
 
+// stoppedAndKilled is the kill at 1150 ms of a dispatcher that was stopped at a time.
+func stoppedAndKilled(at int64) Event {
+	return Event{At: 1150 * ms, Kind: Killed, Dispatcher: "d", Value: at * ms}
+}
+
 func killedAt1150(dispatcher string) Event {
 	return Event{At: 1150 * ms, Kind: Killed, Dispatcher: dispatcher}
 }
@@ -68,34 +74,49 @@
 
 func releasedAt(at int64) Event { return Event{At: at * ms, Kind: Released, ID: "r"} }
 
+// auditTest is a course that is judged.
+type auditTest struct {
+	name   string
+	class  string
+	change change
+	want   string // the rule; none: it passes
+}
+
+func judgeAll(t *testing.T, tests []auditTest) {
+	t.Helper()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			findings := NewAudit(test.change(cleanTrail(test.class)), 3*time.Second).Judge()
+			if test.want != "" && len(findings) == 0 {
+				t.Errorf("no finding, want %q", test.want)
+			}
+			for _, finding := range findings {
+				if finding.Rule != test.want || strings.TrimSpace(finding.Text) == "" {
+					t.Errorf("%v, want %q", finding, test.want)
+				}
+			}
+		})
+	}
+}
+
 // Each violation is found for its rule alone; the course beside it passes.
 func TestAuditFindsEachViolationForItsRuleAlone(t *testing.T) {
 	ranInWindow := Event{At: 2500 * ms, Kind: Ran, ID: "r", Endpoint: "g", Value: 2020 * ms}
 	ranPastWindow := Event{At: 2100 * ms, Kind: Ran, ID: "r", Endpoint: "g", Value: 2040 * ms}
-	lost := Event{At: 1200 * ms, Kind: Lost, ID: "r", Dispatcher: "d", Text: closedConnection}
 	answeredLate := Event{At: 5000 * ms, Kind: Answered, ID: "r", Status: 500}
 	answeredTwice := Event{At: 1300 * ms, Kind: Answered, ID: "r", Status: 200}
 	rejected := Event{At: 1100 * ms, Kind: Answered, ID: "r", Status: 503}
 	left := Event{At: 1025 * ms, Kind: Left, ID: "r"}
 	arrivedAfterLeft := Event{At: 1500 * ms, Kind: Arrived, ID: "r", Endpoint: "g", Text: decodeKind}
 	tooMuchTime := Event{At: 2000 * ms, Kind: Arrived, ID: "r", Endpoint: "h", Value: 2900 * ms, Text: decodeKind}
-	cutOff := Event{At: 900 * ms, Kind: FaultBegan, Text: cutOffText, Dispatcher: "1", Value: 500 * ms}
 	drained := Event{At: 100 * ms, Kind: Drained, Endpoint: "h"}
 	drainedLongAgo := Event{At: -6000 * ms, Kind: Drained, Endpoint: "h"}
 	notified := func(dispatcher string) Event {
 		return Event{At: 110 * ms, Kind: Notified, Endpoint: "h", Dispatcher: dispatcher}
 	}
-	for _, test := range []struct {
-		name   string
-		class  string
-		change change
-		want   string // the rule; none: it passes
-	}{
+	judgeAll(t, []auditTest{
 		{"no violation", nonIdempotentClass, add(), ""},
 		{"no end", nonIdempotentClass, unanswered(), ruleOneAnswer},
-		{"lost", nonIdempotentClass, unanswered(lost), ruleOneAnswer},
-		{"lost as its dispatcher died", nonIdempotentClass, unanswered(lost, killedAt1150("d")), ""},
-		{"lost as another one died", nonIdempotentClass, unanswered(lost, killedAt1150("e")), ruleOneAnswer},
 		{"answered late", idempotentClass, unanswered(answeredLate), ruleOneAnswer},
 		{"ended twice", nonIdempotentClass, add(answeredTwice), ruleOneAnswer},
 		{"run twice", nonIdempotentClass, add(ranInWindow), ruleRepeatedEffect},
@@ -106,6 +127,32 @@
 		{"an attempt after its client left", nonIdempotentClass, unanswered(left, arrivedAfterLeft), ruleClientGone},
 		{"an attempt as its client left", nonIdempotentClass, unanswered(left), ""},
 		{"an endpoint is given too much time", nonIdempotentClass, add(tooMuchTime), ruleDeadline},
+		{"sent to an endpoint that drains", nonIdempotentClass, add(drained, notified("1")), ruleDrain},
+		{"another dispatcher was notified", nonIdempotentClass, add(drained, notified("2")), ""},
+		{"the update did not arrive in time", nonIdempotentClass, add(drainedLongAgo), ruleDrain},
+	})
+}
+
+// What a killed dispatcher held is excused, but for what came late after it was asked to stop.
+func TestAuditOfKilledDispatchers(t *testing.T) {
+	lost := Event{At: 1200 * ms, Kind: Lost, ID: "r", Dispatcher: "d", Text: closedConnection}
+	broken := Event{At: 1200 * ms, Kind: Broken, ID: "r", Dispatcher: "d", Status: 200}
+	judgeAll(t, []auditTest{
+		{"lost", nonIdempotentClass, unanswered(lost), ruleOneAnswer},
+		{"lost as its dispatcher died", nonIdempotentClass, unanswered(lost, killedAt1150("d")), ""},
+		{"lost as its dispatcher was killed after it was stopped", nonIdempotentClass,
+			unanswered(lost, stoppedAndKilled(500)), ""},
+		{"the same, and it had come late", nonIdempotentClass, unanswered(lost, stoppedAndKilled(299)), ruleOneAnswer},
+		{"a stream that came late breaks at the kill", nonIdempotentClass, unanswered(broken, stoppedAndKilled(299)),
+			ruleOneAnswer},
+		{"lost as another one died", nonIdempotentClass, unanswered(lost, killedAt1150("e")), ruleOneAnswer},
+	})
+}
+
+// A state is held until it is used or released, and again once a decode was refused.
+func TestAuditOfReservedStates(t *testing.T) {
+	cutOff := Event{At: 900 * ms, Kind: FaultBegan, Text: cutOffText, Dispatcher: "1", Value: 500 * ms}
+	judgeAll(t, []auditTest{
 		{"state stays reserved", nonIdempotentClass, add(reservedAt1050), ruleState},
 		{"state is released", nonIdempotentClass, add(reservedAt1050, releasedAt(1300)), ""},
 		{"state is released late", nonIdempotentClass, add(reservedAt1050, releasedAt(2500)), ruleState},
@@ -115,20 +162,5 @@
 		{"state is refused and released", nonIdempotentClass, refusedAnd(releasedAt(1400)), ""},
 		{"state is refused and released late", nonIdempotentClass, refusedAnd(releasedAt(2500)), ruleState},
 		{"state stays reserved while cut off", nonIdempotentClass, add(reservedAt1050, cutOff), ""},
-		{"sent to an endpoint that drains", nonIdempotentClass, add(drained, notified("1")), ruleDrain},
-		{"another dispatcher was notified", nonIdempotentClass, add(drained, notified("2")), ""},
-		{"the update did not arrive in time", nonIdempotentClass, add(drainedLongAgo), ruleDrain},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			findings := NewAudit(test.change(cleanTrail(test.class))).Judge()
-			if test.want != "" && len(findings) == 0 {
-				t.Errorf("no finding, want %q", test.want)
-			}
-			for _, finding := range findings {
-				if finding.Rule != test.want || strings.TrimSpace(finding.Text) == "" {
-					t.Errorf("%v, want %q", finding, test.want)
-				}
-			}
-		})
-	}
+	})
 }
--- a/internal/testbed/soak/clients.go
+++ b/internal/testbed/soak/clients.go
@@ -14,9 +14,8 @@
 
 // Times of the clients' requests.
 const (
-	deadline     = 3 * time.Second                   // that a request states
-	lateAnswer   = deadline + 500*time.Millisecond   // after which an answer is late
-	headTimeout  = lateAnswer + 500*time.Millisecond // after which a client no longer waits for an answer's head
+	answerGrace  = 500 * time.Millisecond // after a request's deadline, for its answer
+	headTimeout  = 500 * time.Millisecond // after that, for which a client still waits for an answer's head
 	bodyTimeout  = 12 * time.Second
 	dialTimeout  = time.Second
 	maxIdle      = 2500 * time.Millisecond
@@ -27,6 +26,7 @@
 const (
 	workers             = 5 // of one process, each with one connection at a time
 	maxRequestsPerVisit = 8
+	lastingVisits       = 3  // one of so many goes on for as long as its connection is open
 	idleVisits          = 12 // one of so many requests comes after the connection was idle
 	manners             = 40 // one of so many requests is of each kind of misbehaviour
 	maxBodyBits         = 15
@@ -61,7 +61,8 @@
 // clients send requests to the dispatchers, and some of them misbehave.
 type clients struct {
 	*role
-	sent atomic.Int64
+	sent   atomic.Int64
+	endsAt int64
 }
 
 // clientConn is a client's connection to a dispatcher.
@@ -73,11 +74,10 @@
 }
 
 func startClients(r *role) handler {
-	k := &clients{role: r}
-	end := now() + r.Duration.Microseconds()
+	k := &clients{role: r, endsAt: now() + r.Duration.Microseconds()}
 	for range workers {
 		go func() {
-			for now() < end {
+			for now() < k.endsAt {
 				k.visit(k.Targets[k.draw(len(k.Targets))])
 			}
 		}()
@@ -109,7 +109,8 @@
 	}
 	defer closeConn(conn)
 	c := &clientConn{Conn: conn, reader: bufio.NewReader(conn), target: target}
-	for range 1 + k.draw(maxRequestsPerVisit) {
+	lasting := k.draw(lastingVisits) == 0
+	for count := 1 + k.draw(maxRequestsPerVisit); count > 0 || lasting && now() < k.endsAt; count-- {
 		if k.draw(idleVisits) == 0 {
 			time.Sleep(k.drawDuration(maxIdle))
 			c.reused = true
@@ -126,7 +127,7 @@
 	class := classes[k.draw(len(classes))]
 	id := fmt.Sprintf("%s-%d", k.Name, k.sent.Add(1))
 	body := fmt.Sprintf(`{"stream":true,"messages":["%s"]}`, strings.Repeat("x", 1<<k.draw(maxBodyBits)))
-	text := fmt.Sprintf(requestFormat, id, class, k.Name, deadline.Milliseconds(), 100+len(body)/4, len(body), body)
+	text := fmt.Sprintf(requestFormat, id, class, k.Name, k.Deadline.Milliseconds(), 100+len(body)/4, len(body), body)
 	manner := k.draw(manners)
 	began := now()
 	if !k.send(conn, text, manner) {
@@ -190,7 +191,7 @@
 		k.record.add(Event{Kind: kind, ID: sent.ID, Class: sent.Class, Dispatcher: sent.Dispatcher, Status: status,
 			Value: sent.At, Text: text})
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(headTimeout))
+	_ = conn.SetReadDeadline(time.Now().Add(k.Deadline + answerGrace + headTimeout))
 	answer, err := http.ReadResponse(conn.reader, nil)
 	if err != nil {
 		text := err.Error()
--- a/internal/testbed/soak/dispatcher.go
+++ b/internal/testbed/soak/dispatcher.go
@@ -14,7 +14,25 @@
 
 // stopTimeout is how long a dispatcher may take to end after SIGTERM: what it accepted is answered by its deadline; a
 // stream that had begun may fall silent then, and is ended 4.2 s later.
-const stopTimeout = deadline + 700*time.Millisecond + 5*time.Second
+func (p Plan) stopTimeout() time.Duration { return p.Deadline + answeredAfterStop + 5*time.Second }
+
+const (
+	// answeredAfterStop is how long after SIGTERM a request may come that need not be answered by the time of SIGKILL.
+	answeredAfterStop = 700 * time.Millisecond
+	// maxDeadlineToKill is the longest deadline that SIGKILL waits for.
+	maxDeadlineToKill = 3 * time.Second
+)
+
+// killAfter is the earliest time after SIGTERM at which SIGKILL may follow.
+func (p Plan) killAfter() time.Duration {
+	return min(p.Deadline, maxDeadlineToKill) + answeredAfterStop
+}
+
+// Signals that follow a SIGTERM.
+const (
+	maxLaterSignals = 3
+	maxSignalPause  = 150 * time.Millisecond // between two of them
+)
 
 // Rates of faults of system calls, in a thousand calls, and which dispatchers have them.
 const (
@@ -85,24 +103,66 @@
 	return faults
 }
 
-// stop asks a dispatcher to stop, waits for it, and starts it again if that is wanted.
-func (r *run) stop(stopping *dispatcher, restart bool) {
+// laterSignal is a signal that follows SIGTERM.
+type laterSignal struct {
+	after  time.Duration
+	signal syscall.Signal
+}
+
+// drawLaterSignals draws what follows a SIGTERM: signals come in series.
+func (r *run) drawLaterSignals() (later []laterSignal) {
+	for range r.random.Intn(maxLaterSignals + 1) {
+		later = append(later, laterSignal{
+			after:  time.Duration(r.random.Int63n(int64(maxSignalPause))),
+			signal: pick(r.random, []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}),
+		})
+	}
+	return later
+}
+
+// stop asks a dispatcher to stop, kills it at the earliest time at which that is allowed, and starts it again.
+func (r *run) stop(stopping *dispatcher, later []laterSignal) {
 	stopping.mu.Lock()
 	defer stopping.mu.Unlock()
+	stoppedAt := now()
 	r.record.add(Event{Kind: Stopped, Dispatcher: stopping.address})
+	kill := time.After(r.killAfter())
 	stopping.signal(syscall.SIGTERM)
+	for _, next := range later {
+		time.Sleep(next.after)
+		stopping.signal(next.signal)
+	}
 	select {
 	case <-stopping.process.exited:
-		if stopping.process.err != nil {
-			r.addFinding(ruleCrash, "dispatcher %d ended with %v", stopping.number, stopping.process.err)
-		}
-	case <-time.After(stopTimeout):
-		r.addFinding(ruleOneAnswer, "dispatcher %d has not ended %v after SIGTERM", stopping.number, stopTimeout)
+		r.checkExit(stopping)
+	case <-kill:
+		r.record.add(Event{Kind: Killed, Dispatcher: stopping.address, Value: stoppedAt})
+		stopping.process.kill()
+	}
+	r.record.add(Event{Kind: Ended, Dispatcher: stopping.address})
+	r.restart(stopping)
+}
+
+// end asks a dispatcher to stop at the end of a run, and gives it the time that it needs.
+func (r *run) end(stopping *dispatcher) {
+	stopping.mu.Lock()
+	defer stopping.mu.Unlock()
+	r.record.add(Event{Kind: Stopped, Dispatcher: stopping.address})
+	stopping.signal(syscall.SIGTERM)
+	select {
+	case <-stopping.process.exited:
+		r.checkExit(stopping)
+	case <-time.After(r.stopTimeout()):
+		r.addFinding(ruleOneAnswer, "dispatcher %d has not ended %v after SIGTERM", stopping.number, r.stopTimeout())
 		r.kill(stopping)
 	}
 	r.record.add(Event{Kind: Ended, Dispatcher: stopping.address})
-	if restart {
-		r.restart(stopping)
+}
+
+// checkExit checks how a dispatcher has ended that was asked to stop.
+func (r *run) checkExit(stopped *dispatcher) {
+	if stopped.process.err != nil {
+		r.addFinding(ruleCrash, "dispatcher %d ended with %v", stopped.number, stopped.process.err)
 	}
 }
 
--- a/internal/testbed/soak/endpoint.go
+++ b/internal/testbed/soak/endpoint.go
@@ -61,7 +61,9 @@
 	}
 	return func(order string, arguments []string) {
 		switch order {
-		case orderSilent:
+		case orderSilent: // recorded here, as an endpoint that is stopped takes the order later
+			e.record.add(Event{Kind: FaultBegan, Text: notRunningText, Endpoint: e.Name,
+				Value: durationOf(arguments, 0).Microseconds()})
 			e.silentUntil.Store(untilOf(arguments))
 		case orderDecline:
 			e.declineUntil.Store(untilOf(arguments))
--- a/internal/testbed/soak/excuses.go
+++ b/internal/testbed/soak/excuses.go
@@ -1,6 +1,9 @@
 package soak
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // dispatcherKilled is true if a dispatcher was killed while a request was open there; what it ends with after a stop is
 // its own.
@@ -10,6 +13,19 @@
 	})
 }
 
+// lateAtKill is how long after SIGTERM a request came that SIGKILL found unanswered, where that was so late that the
+// dispatcher had to answer it or to close its connection before; otherwise 0.
+func (a *Audit) lateAtKill(t *requestTrail) time.Duration {
+	for _, event := range a.events {
+		endedIt := event.Kind == Killed && event.Dispatcher == t.sent.Dispatcher && event.Value > 0 &&
+			event.At >= t.sent.At && event.At <= t.final.At && event.At+slack.Microseconds() > t.final.At
+		if endedIt && t.sent.Value > event.Value+answeredAfterStop.Microseconds() {
+			return time.Duration(t.sent.Value-event.Value) * time.Microsecond
+		}
+	}
+	return 0
+}
+
 // endpointKilled is true if an endpoint was killed in a span; what it reserved is gone with it.
 func (a *Audit) endpointKilled(endpoint string, from, to int64) bool {
 	return slices.ContainsFunc(a.events, func(event Event) bool {
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -21,6 +21,7 @@
 	maxFreeze       = 140 * time.Millisecond // of a dispatcher
 	minFaultTime    = 200 * time.Millisecond
 	faultTimeSpread = 1800        // ms
+	maxReloads      = 4           // in a series
 	minUptime       = time.Second // of a dispatcher before it gets a new configuration
 	drainsOf        = 3           // one of so many endpoints of a kind may drain
 )
@@ -31,6 +32,9 @@
 	inject func(r *run, duration time.Duration) bool
 }
 
+// stopShare is the share of faults that are planned restarts, beside those that are drawn among all.
+const stopShare = 0.12
+
 // stoppedOf says which part of the endpoints of a kind go on while the others are stopped: one of so many.
 const stoppedOf = 5
 
@@ -58,9 +62,11 @@
 	time.AfterFunc(duration, func() { _ = process.Signal(syscall.SIGCONT) })
 }
 
+var plannedRestart = fault{"a dispatcher is stopped and started again", stopDispatcher}
+
 // faults are all kinds of fault; their names are part of a report.
 var faults = []fault{
-	{"a dispatcher is stopped and started again", stopDispatcher},
+	plannedRestart,
 	{"a dispatcher is killed and started again", killDispatcher},
 	{"a new configuration moves discovery", moveDiscovery},
 	{"a dispatcher is held up", freezeDispatcher},
@@ -84,9 +90,7 @@
 		return true
 	}},
 	{"a host hangs", func(r *run, duration time.Duration) bool {
-		endpoint := r.random.Intn(len(r.endpoints))
-		r.recordFault(Event{Text: notRunningText, Endpoint: endpointName(endpoint)}, duration)
-		r.endpoints[endpoint].order("%s %s", orderSilent, duration)
+		pick(r.random, r.endpoints).order("%s %s", orderSilent, duration)
 		return true
 	}},
 	{"hosts are stopped", func(r *run, duration time.Duration) bool {
@@ -120,6 +124,9 @@
 	for end := now() + r.Duration.Microseconds(); now() < end; {
 		time.Sleep(r.MeanFaultInterval/2 + time.Duration(r.random.Int63n(int64(r.MeanFaultInterval))))
 		next := pick(r.random, faults)
+		if r.random.Float64() < stopShare {
+			next = plannedRestart
+		}
 		duration := minFaultTime + time.Duration(r.random.Intn(faultTimeSpread))*time.Millisecond
 		if next.inject(r, duration) {
 			r.report.Faults[next.name]++
@@ -156,7 +163,11 @@
 		return false
 	}
 	d.mu.Unlock()
-	r.stops.Go(func() { r.stop(d, true) })
+	if r.Crowd {
+		pick(r.random, r.clients).order("%s %s %s", orderCrowd, d.address, r.killAfter())
+	}
+	later := r.drawLaterSignals()
+	r.stops.Go(func() { r.stop(d, later) })
 	return true
 }
 
@@ -183,7 +194,7 @@
 	if now()-d.startedAt < minUptime.Microseconds() {
 		return false
 	}
-	for range 1 + r.random.Intn(2) {
+	for range 1 + r.random.Intn(maxReloads) {
 		r.agentOf[d.number] = 1 - r.agentOf[d.number]
 		if err := r.writeConfig(d); err != nil {
 			return false
--- a/internal/testbed/soak/judge.go
+++ b/internal/testbed/soak/judge.go
@@ -24,7 +24,7 @@
 		}
 		events = append(events, recorded...)
 	}
-	audit := NewAudit(events)
+	audit := NewAudit(events, r.Deadline)
 	r.report.Findings = append(r.report.Findings, audit.Judge()...)
 	r.report.Requests = audit.sentRequests()
 	for _, d := range r.dispatchers {
--- a/internal/testbed/soak/record.go
+++ b/internal/testbed/soak/record.go
@@ -37,7 +37,7 @@
 	Notified   Kind = "told"     // discovery wrote a drain to a dispatcher's watch
 	Drained    Kind = "drained"  // an endpoint's drain was given to discovery
 	Stopped    Kind = "stopped"  // a dispatcher was asked to stop
-	Killed     Kind = "killed"   // a dispatcher or an endpoint
+	Killed     Kind = "killed"   // a dispatcher or an endpoint; Value is when it was asked to stop, if it was
 	Ended      Kind = "ended"    // a dispatcher
 	FaultBegan Kind = "troubled" // Text says which; Value is its duration
 )
--- a/internal/testbed/soak/role.go
+++ b/internal/testbed/soak/role.go
@@ -51,10 +51,11 @@
 	Name     string
 	Record   string // path
 	Seed     int64
-	Kind     string   // of an endpoint
-	Listen   []string // addresses
-	Targets  []string // of a proxy: what stands behind each address; of clients: dispatchers
-	Duration time.Duration
+	Kind     string        // of an endpoint
+	Listen   []string      // addresses
+	Targets  []string      // of a proxy: what stands behind each address; of clients: dispatchers
+	Duration time.Duration // of clients: for how long they send requests
+	Deadline time.Duration // of clients: that a request states
 }
 
 // role is what the stand-ins share.
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -24,6 +24,8 @@
 	Decodes           int
 	Clients           int // processes
 	Duration          time.Duration
+	Deadline          time.Duration // of each request
+	Crowd             bool          // clients crowd in wherever a dispatcher is stopped
 	MeanFaultInterval time.Duration
 	Binary            string // of the program
 	Library           string // that has system calls fail
@@ -100,7 +102,7 @@
 	}
 	inject(current)
 	current.stops.Wait()
-	time.Sleep(lateAnswer + time.Second) // for the last requests to be answered
+	time.Sleep(p.Deadline + answerGrace + time.Second) // for the last requests to be answered
 	if err := current.endAll(); err != nil {
 		return nil, err
 	}
@@ -142,7 +144,7 @@
 // endAll ends everything gracefully.
 func (r *run) endAll() error {
 	for _, d := range r.dispatchers {
-		r.stops.Go(func() { r.stop(d, false) })
+		r.stops.Go(func() { r.end(d) })
 	}
 	r.stops.Wait()
 	for _, stopping := range r.standIns() {
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -62,14 +62,22 @@
 	return dir
 }
 
-// TestSoak runs SOAK_SEEDS plans of SOAK_SECONDS from SOAK_SEED on; a short one where nothing is said. Logs and records
-// stay in SOAK_FOLDER, if there is one.
+// TestSoak runs SOAK_SEEDS plans of SOAK_SECONDS from SOAK_SEED on; four short ones where nothing is said. Logs and
+// records stay in SOAK_FOLDER, if there is one.
 func TestSoak(t *testing.T) {
-	const minRequests = 100
+	const (
+		minRequests = 100
+		shortOf     = 3 // one of so many plans has short deadlines,
+		crowdOf     = 4 // and one of so many has a crowd
+	)
 	binary, library := build(t)
-	for i := range numberFromEnvironment("SOAK_SEEDS", 1) {
+	for i := range numberFromEnvironment("SOAK_SEEDS", 4) {
 		seed := numberFromEnvironment("SOAK_SEED", 1) + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			deadline := 3 * time.Second
+			if seed%shortOf == shortOf-1 {
+				deadline = time.Second
+			}
 			plan := Plan{
 				Seed:              int64(seed),
 				Dispatchers:       6,
@@ -77,6 +85,8 @@
 				Decodes:           8,
 				Clients:           8,
 				Duration:          time.Duration(numberFromEnvironment("SOAK_SECONDS", 8)) * time.Second,
+				Deadline:          deadline,
+				Crowd:             seed%crowdOf == 0,
 				MeanFaultInterval: time.Duration(numberFromEnvironment("SOAK_PAUSE_MS", 350)) * time.Millisecond,
 				Binary:            binary,
 				Library:           library,
--- a/internal/testbed/soak/start.go
+++ b/internal/testbed/soak/start.go
@@ -105,7 +105,7 @@
 		targets = append(targets, d.address)
 	}
 	for number := range r.Clients {
-		setup := Setup{Name: fmt.Sprint("c", number), Targets: targets, Duration: r.Duration}
+		setup := Setup{Name: fmt.Sprint("c", number), Targets: targets, Duration: r.Duration, Deadline: r.Deadline}
 		if err := r.startStandIn(clientsRole, setup, &r.clients); err != nil {
 			return err
 		}
--- a/internal/testbed/soak/stopped_test.go
+++ b/internal/testbed/soak/stopped_test.go
@@ -16,7 +16,8 @@
 	)
 	binary, library := build(t)
 	plan := Plan{Seed: 1, Dispatchers: 2, Prefills: 3, Decodes: 5, Clients: 4, Duration: duration,
-		Binary: binary, Library: library, Dir: recordDir(t, 0)}
+		Deadline: 3 * time.Second,
+		Binary:   binary, Library: library, Dir: recordDir(t, 0)}
 	report, err := plan.play(func(r *run) {
 		time.Sleep(warmUp)
 		if !r.stopEndpoints(decodeKind, stopped) {
