--- a/scheduler/fleet_sim_test.go
+++ b/scheduler/fleet_sim_test.go
@@ -176,6 +176,12 @@
 // endAttempt ends the request's attempt. The detail is the cached tokens of a prefill; otherwise 1 says that the
 // state is missing.
 func (sim *fleetSim) endAttempt(req *simRequest, outcome Outcome, detail int) {
+	sim.endAttemptWith(req, AttemptResult{Outcome: outcome, CachedTokens: detail, StateMissing: detail == 1})
+}
+
+// endAttemptWith ends the request's attempt with a result, to which it adds what the sim itself knows.
+func (sim *fleetSim) endAttemptWith(req *simRequest, result AttemptResult) {
+	outcome := result.Outcome
 	att := req.inFlight()
 	att.inFlight, att.outcome = false, outcome
 	if outcome == Completed || att.started || outcome == PrefillDone && sim.prefillOnly(req) {
@@ -192,13 +198,9 @@
 	case req.stateWaitingSince != 0:
 		req.stateWaitingSince = sim.now
 	}
-	sim.scheduler.AttemptEnded(sim.now, req.id, AttemptNo(len(req.attempts)-1), AttemptResult{
-		Outcome:       outcome,
-		CachedTokens:  detail,
-		StateMissing:  detail == 1,
-		RequestClosed: req.closed || len(req.finalAnswers) > 0,
-		MemoryUsage:   NoLoadReport,
-	})
+	result.RequestClosed = req.closed || len(req.finalAnswers) > 0
+	result.MemoryUsage = NoLoadReport
+	sim.scheduler.AttemptEnded(sim.now, req.id, AttemptNo(len(req.attempts)-1), result)
 }
 
 // prefilled sends a request and completes its prefill, so that it has an attempt at a decode endpoint.
@@ -320,7 +322,8 @@
 		sim.endAttempt(req, NoCapacity, random.Intn(2))
 	default:
 		failures := []Outcome{Errored, TimedOut, Unreachable, ConnectionLost, Cancelled, NotSent}
-		sim.endAttempt(req, failures[random.Intn(len(failures))], 0)
+		released := !prefill && !att.started && random.Intn(4) == 0
+		sim.endAttemptWith(req, AttemptResult{Outcome: failures[random.Intn(len(failures))], StateReleased: released})
 	}
 }
 
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// A state whose lease ran out during a decode is gone, however the decode ends: it is released once more, and no decode
+// is sent without a new prefill.
+func TestStateReleasedDuringADecode(t *testing.T) {
+	for _, outcome := range []Outcome{NoCapacity, TimedOut, ConnectionLost, Errored, Cancelled} {
+		sim := newFleetSim(t, testConfig(Idempotent), 1)
+		sim.addEndpoints(2, prefillKind, decodeKind)
+		req := sim.prefilled(1, 3000)
+		sim.advance(50 * ms)
+		sim.endAttemptWith(req, AttemptResult{Outcome: outcome, StateReleased: true})
+		if req.inFlight() == nil || req.inFlight().endpoint.kind != prefillKind || req.stateWaitingSince != 0 {
+			t.Errorf("%v: not prefilled again", outcome)
+		}
+	}
+}
+
 // A cancel may cross the start of its stream: an end without closing still needs a final answer.
 func TestStreamEndingUnclosedGetsFinalAnswer(t *testing.T) {
 	sim := newFleetSim(t, testConfig(NonIdempotent), 1)
