--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -93,11 +93,11 @@
 // release has all that endpoints hold for the request released, and then starts the attempt that waits for that.
 func (d *Dispatcher) release(req *request) {
 	req.lease.active, req.lease.releasing = false, true
-	held := d.loop.Now() - req.lease.startedAt
-	overdue := max(d.stateLimit()-held, 0) + eventloop.Millisecond
+	age := d.loop.Now() - req.lease.startedAt
+	overdue := max(d.stateLimit()-age, 0) + eventloop.Millisecond
 	req.lease.expiry.Set(d.loop, overdue, func() { req.ledger.LeaseOverdue(d.loop.Now()) })
 	d.debugRequest(req).Str("endpoint", d.endpoints[req.lease.endpoint].Name).
-		Int64("held_us", int64(held)).Msg("releasing state")
+		Int64("lease_age_us", int64(age)).Msg("releasing state")
 	d.upstream.Release(req.client.ID, req.lease.endpoint, func(confirmed bool) { d.released(req, confirmed) })
 }
 
@@ -106,7 +106,7 @@
 	req.lease.releasing = false
 	req.lease.expiry.Clear()
 	d.debugRequest(req).Bool("confirmed", confirmed).
-		Int64("held_us", int64(d.loop.Now()-req.lease.startedAt)).Msg("state released")
+		Int64("lease_age_us", int64(d.loop.Now()-req.lease.startedAt)).Msg("state released")
 	req.ledger.LeaseReleased(d.loop.Now())
 	if req.lease.again {
 		req.lease.again = false
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -52,10 +52,10 @@
 		Str("endpoint", d.endpoints[req.attempt.endpoint].Name).
 		Bool("prefill", req.attempt.prefill).
 		Bool("unsent", req.attempt.inFlight.Unsent()).
-		Int64("ordered_us_ago", int64(now-req.attempt.orderedAt)).
-		Int64("held_us", int64(now-req.lease.startedAt))
+		Int64("attempt_age_us", int64(now-req.attempt.orderedAt)).
+		Int64("lease_age_us", int64(now-req.lease.startedAt))
 	if last := d.engine.LastReceived(req.attempt.endpoint); last > 0 {
-		event.Int64("heard_us_ago", int64(now-last)) // from the endpoint, on any connection
+		event.Int64("endpoint_silent_us", int64(now-last)) // from the endpoint, on any connection
 	}
 	event.Msg("state lease expired")
 }
