Engine: results no longer say what the network has confirmed

Cause: Result.Undelivered was what the lease had trusted; nothing reads it now. Change: the field and the attempt's copy are gone; SeenRunning asks the connection. Measured: engine, dispatch and platform pass.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -23,9 +23,8 @@
 	timer        eventloop.Timer  // for the deadlines, and once started for a stream that falls silent
 	evictions    int              // idle connections that were closed for it
 
-	ended       bool
-	sent        bool // once ended: its last byte had left this process
-	undelivered bool // once ended: its last byte was not known to have reached the endpoint
+	ended bool
+	sent  bool // once ended: its last byte had left this process
 
 	readingPaused bool
 	lastReceived  eventloop.Micros // when a started stream last brought anything
@@ -69,25 +68,16 @@
 // on any connection. That the network has confirmed the attempt's bytes says nothing of the kind: the machine of a
 // stopped process, or a proxy, confirms them too.
 func (a *Attempt) SeenRunning() bool {
-	if a.connection == nil || a.connection.attempts == 0 || a.Undelivered() {
+	if a.connection == nil || a.connection.attempts == 0 || a.Unsent() || a.connection.conn.Undelivered() {
 		return false
 	}
 	return a.endpoint.lastReceived > a.writtenAt+arrivalTime
 }
 
-// Undelivered reports whether the attempt's last byte is known not to have reached its endpoint's machine. Where it is
-// not, the attempt may still be with nobody: see SeenRunning.
-func (a *Attempt) Undelivered() bool {
-	if a.ended {
-		return a.undelivered
-	}
-	return a.connection == nil || a.Unsent() || a.connection.conn.Undelivered()
-}
-
 // Cancel ends an attempt without a callback. The connection is reset, by which the endpoint learns of it.
 func (a *Attempt) Cancel() {
 	if !a.ended {
-		a.sent, a.undelivered = !a.Unsent(), a.Undelivered()
+		a.sent = !a.Unsent()
 		a.ended = true
 		a.timer.Stop()
 		a.dropConnection()
@@ -144,10 +134,8 @@
 	if a.ended {
 		return
 	}
-	a.undelivered = a.connection != nil && a.Undelivered()
 	a.sent = a.sent || !a.Unsent()
 	a.ended = true
-	result.Undelivered = a.undelivered
 	a.timer.Stop()
 	if reset {
 		result.ClosedLocally = true
--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -19,7 +19,6 @@
 	MemoryUsage    float64 // share of the endpoint's KV memory in use, from 0 to 1, or scheduler.NoLoadReport
 	State          string  // with PrefillDone: where the KV state lies, as the endpoint's kv_transfer_params say
 	ClosedLocally  bool    // the connection was reset by this side with the attempt on it
-	Undelivered    bool    // its last byte was not known to have reached the endpoint when it ended
 	InvalidRequest bool    // the endpoint has declared the request invalid, as any other would
 	Reason         string  // for logs
 }
--- a/internal/engine/wire_test.go
+++ b/internal/engine/wire_test.go
@@ -54,8 +54,7 @@
 			Ended: func(r Result) {
 				fmt.Fprintf(&out, "outcome %d, cached %d, missing %t, memory %v, state %q, ",
 					r.Outcome, r.CachedTokens, r.StateMissing, r.MemoryUsage, r.State)
-				fmt.Fprintf(&out, "locally %t, undelivered %t, invalid %t\n",
-					r.ClosedLocally, r.Undelivered, r.InvalidRequest)
+				fmt.Fprintf(&out, "locally %t, invalid %t\n", r.ClosedLocally, r.InvalidRequest)
 			},
 		})
 	})
