Soak: what a proxy passes on late was written before its client closed

Change: one time at which a request may have been written, for all checks that count from the write; a row of the audit's test.

--- a/internal/testbed/soak/audit_test.go
+++ b/internal/testbed/soak/audit_test.go
@@ -107,6 +107,8 @@
 	answeredTwice := Event{At: 1300 * ms, Kind: Answered, ID: "r", Status: 200}
 	rejected := Event{At: 1100 * ms, Kind: Answered, ID: "r", Status: 503}
 	left := Event{At: 1025 * ms, Kind: Left, ID: "r"}
+	passedOnLate := Event{At: 900 * ms, Kind: FaultBegan, Text: lateText, Dispatcher: "1", Value: 300 * ms}
+	arrivedByProxy := Event{At: 1430 * ms, Kind: Arrived, ID: "r", Endpoint: "g", Dispatcher: "1", Text: decodeKind}
 	arrivedAfterLeft := Event{At: 1500 * ms, Kind: Arrived, ID: "r", Endpoint: "g", Text: decodeKind}
 	tooMuchTime := Event{At: 2000 * ms, Kind: Arrived, ID: "r", Endpoint: "h", Value: 2900 * ms, Text: decodeKind}
 	drained := Event{At: 100 * ms, Kind: Drained, Endpoint: "h"}
@@ -125,6 +127,7 @@
 		{"run twice, past its window", deduplicatedClass, add(ranPastWindow), ruleRepeatedEffect},
 		{"rejected after it ran", nonIdempotentClass, unanswered(rejected), ruleRepeatedEffect},
 		{"an attempt after its client left", nonIdempotentClass, unanswered(left, arrivedAfterLeft), ruleClientGone},
+		{"an attempt that a proxy passed on late", nonIdempotentClass, unanswered(left, passedOnLate, arrivedByProxy), ""},
 		{"an attempt as its client left", nonIdempotentClass, unanswered(left), ""},
 		{"an endpoint is given too much time", nonIdempotentClass, add(tooMuchTime), ruleDeadline},
 		{"sent to an endpoint that drains", nonIdempotentClass, add(drained, notified("1")), ruleDrain},
--- a/internal/testbed/soak/endpoint.go
+++ b/internal/testbed/soak/endpoint.go
@@ -189,7 +189,7 @@
 }
 
 func (e *endpoint) decode(call exchange) bool {
-	e.record.add(Event{Kind: Ran, ID: call.id, Endpoint: e.Name, Value: call.arrivedAt})
+	e.record.add(Event{Kind: Ran, ID: call.id, Endpoint: e.Name, Dispatcher: call.dispatcher, Value: call.arrivedAt})
 	misbehaviour := e.draw(misbehavesInDecode)
 	switch misbehaviour {
 	case resetsAtOnce:
--- a/internal/testbed/soak/excuses.go
+++ b/internal/testbed/soak/excuses.go
@@ -41,6 +41,20 @@
 	})
 }
 
+// writtenBy is the earliest time at which a request may have been written that an endpoint took at some time, by what
+// the endpoint recorded of it: a process that did not run, or did not run again and again, took it later, and a proxy
+// may have passed it on late.
+func (a *Audit) writtenBy(taken Event, at int64) int64 {
+	earliest := at
+	for _, event := range slices.Backward(a.events) { // in the order of their times, so that the earlier ones come last
+		if event.Kind == FaultBegan && event.Text == notRunningText && event.Endpoint == taken.Endpoint &&
+			event.At <= earliest && event.At+event.Value+slack.Microseconds() >= earliest {
+			earliest = event.At
+		}
+	}
+	return earliest - a.proxyDelay(taken.Dispatcher, earliest)
+}
+
 // proxyDelay is for how long a proxy may have delayed what had left a dispatcher: it accepts a connection at once that
 // it passes on late.
 func (a *Audit) proxyDelay(dispatcher string, at int64) int64 {
@@ -54,19 +68,6 @@
 	return 0
 }
 
-// writtenBy is the earliest time at which a request may have been written that a process took at some time: one that
-// did not run, or did not run again and again, took it later.
-func (a *Audit) writtenBy(endpoint string, at int64) int64 {
-	earliest := at
-	for _, event := range slices.Backward(a.events) { // in the order of their times, so that the earlier ones come last
-		if event.Kind == FaultBegan && event.Text == notRunningText && event.Endpoint == endpoint &&
-			event.At <= earliest && event.At+event.Value+slack.Microseconds() >= earliest {
-			earliest = event.At
-		}
-	}
-	return earliest
-}
-
 // discoverySilence is for how long discovery published nothing from a time on.
 func (a *Audit) discoverySilence(at int64) (longest int64) {
 	for _, event := range a.events {
