Soak: a dispatcher that is told to end as it starts may end by the signal

Change: such an end within 100 ms of the start is no finding; any other end by a signal or code is, with its uptime.

--- a/internal/testbed/soak/dispatcher.go
+++ b/internal/testbed/soak/dispatcher.go
@@ -28,6 +28,9 @@
 	return min(p.Deadline, maxDeadlineToKill) + answeredAfterStop
 }
 
+// signalHandlerTime is how long after its start a process may have no signal handler.
+const signalHandlerTime = 100 * time.Millisecond
+
 // Signals that follow a SIGTERM.
 const (
 	maxLaterSignals = 3
@@ -134,7 +137,7 @@
 	}
 	select {
 	case <-stopping.process.exited:
-		r.checkExit(stopping)
+		r.checkExit(stopping, stoppedAt)
 	case <-kill:
 		r.record.add(Event{Kind: Killed, Dispatcher: stopping.address, Value: stoppedAt})
 		stopping.process.kill()
@@ -147,11 +150,12 @@
 func (r *run) end(stopping *dispatcher) {
 	stopping.mu.Lock()
 	defer stopping.mu.Unlock()
+	stoppedAt := now()
 	r.record.add(Event{Kind: Stopped, Dispatcher: stopping.address})
 	stopping.signal(syscall.SIGTERM)
 	select {
 	case <-stopping.process.exited:
-		r.checkExit(stopping)
+		r.checkExit(stopping, stoppedAt)
 	case <-time.After(r.stopTimeout()):
 		r.addFinding(ruleOneAnswer, "dispatcher %d has not ended %v after SIGTERM", stopping.number, r.stopTimeout())
 		r.kill(stopping)
@@ -159,11 +163,19 @@
 	r.record.add(Event{Kind: Ended, Dispatcher: stopping.address})
 }
 
-// checkExit checks how a dispatcher has ended that was asked to stop.
-func (r *run) checkExit(stopped *dispatcher) {
-	if stopped.process.err != nil {
-		r.addFinding(ruleCrash, "dispatcher %d ended with %v", stopped.number, stopped.process.err)
+// checkExit checks how a dispatcher has ended that was asked to stop. One that had only just been started ends by the
+// signal itself: no program has a handler from its first instant on, and it has not listened yet.
+func (r *run) checkExit(stopped *dispatcher, stoppedAt int64) {
+	err := stopped.process.err
+	if err == nil {
+		return
+	}
+	status, exited := stopped.process.command.ProcessState.Sys().(syscall.WaitStatus)
+	uptime := time.Duration(stoppedAt-stopped.startedAt) * time.Microsecond
+	if exited && status.Signaled() && status.Signal() == syscall.SIGTERM && uptime < signalHandlerTime {
+		return
 	}
+	r.addFinding(ruleCrash, "dispatcher %d ended with %v, %v after its start", stopped.number, err, uptime)
 }
 
 // kill ends a dispatcher at once; its lock is held.
