Soak: the exit status is asked for its signal alone

Cause: the linter takes the standard library's Signaled for a misspelling; Signal says the same (-1 where there is none). Change: that call is gone.

--- a/internal/testbed/soak/dispatcher.go
+++ b/internal/testbed/soak/dispatcher.go
@@ -170,9 +170,9 @@
 	if err == nil {
 		return
 	}
-	status, exited := stopped.process.command.ProcessState.Sys().(syscall.WaitStatus)
+	status, known := stopped.process.command.ProcessState.Sys().(syscall.WaitStatus)
 	uptime := time.Duration(stoppedAt-stopped.startedAt) * time.Microsecond
-	if exited && status.Signaled() && status.Signal() == syscall.SIGTERM && uptime < signalHandlerTime {
+	if known && status.Signal() == syscall.SIGTERM && uptime < signalHandlerTime {
 		return
 	}
 	r.addFinding(ruleCrash, "dispatcher %d ended with %v, %v after its start", stopped.number, err, uptime)
