--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -47,7 +47,7 @@
 	d.startLease(req)
 }
 
-// stateNoLongerAwaited takes the end of an attempt during which the state was released: endpoints may have kept it for
+// stateNoLongerAwaited takes the end of an attempt during which the state was released: endpoints may keep it for
 // that attempt, and have to be asked again.
 func (d *Dispatcher) stateNoLongerAwaited(req *request) {
 	req.lease.awaited = false
@@ -70,8 +70,8 @@
 }
 
 // leaseExpired ends a lease during an attempt that has not been answered. One that is not sent yet is cancelled, and
-// the state counts as missing for it. Any other may be with a running endpoint or not, which can't be told: it goes on,
-// and the state is released all the same. Endpoints keep a state for an attempt that they have taken.
+// the state counts as missing for it. Any other may be with a running endpoint or with none, which can't be known: it
+// goes on, and the state is released all the same. Endpoints keep a state for an attempt that they have taken.
 func (d *Dispatcher) leaseExpired(req *request) {
 	inFlight, number := req.attempt.inFlight, req.attempt.number()
 	if !req.lease.active || req.lease.releasing || inFlight == nil {
