Tenancy: the wait after a lowered limit is checked for what is missing, not against a second

The test was wrong for a bucket that is almost full; the code is right. Change: an empty bucket must wait 999 s (a second before); one that lacks a part must not admit in half of the wait it names, and must after it.

--- a/internal/tenancy/admission_test.go
+++ b/internal/tenancy/admission_test.go
@@ -132,11 +132,24 @@
 	controller := r.controllers[0]
 	controller.SetTenant(1, TenantSettings{Limits: Limits{PerS: 0.001}, Serving: true})
 	request := AdmissionRequest{Tenant: 1, PromptTokens: 10, MaxOutputTokens: 10}
-	controller.Admit(r.now, request)
+	first, _ := controller.Admit(r.now, request)
 	ticket, decision := controller.Admit(r.now, request)
-	if ticket != nil || decision.Reason != RequestRateExceeded || decision.RetryAfter < second {
+	if ticket != nil || decision.Reason != RequestRateExceeded || decision.RetryAfter <= 0 {
 		r.t.Fatalf("after the limit was lowered: %v, %+v", ticket, decision)
 	}
+	if first != nil { // the bucket was full, and is empty now
+		if decision.RetryAfter < 999*second {
+			r.t.Fatalf("with an empty bucket the wait is %d us", decision.RetryAfter)
+		}
+		return
+	}
+	// A part of one request was missing, perhaps a small one: the wait is just as long as it takes to come.
+	if ticket, _ := controller.Admit(r.now+decision.RetryAfter/2, request); ticket != nil {
+		r.t.Fatal("admitted in half of the wait")
+	}
+	if ticket, late := controller.Admit(r.latest+decision.RetryAfter+1, request); ticket == nil {
+		r.t.Fatalf("rejected after the wait of %d us: %+v", decision.RetryAfter, late)
+	}
 }
 
 // The quota that one tenant does not use serves others at once, and again its own requests as soon as there are some.
