Model server: of overlapping faults the last one's restart counts

Cause: two drains hit host 116 and end with a restart each; the second drain's restart (1,713 ms) came before the first one's (2,820 ms), which then started a host that ran. Its trace has "up" at 2,820 ms with no "down" before it: the states were forgotten without a record, the old listener and connections left behind. Change: a crash replaces a restart that is still to come; one that is replaced for good does not come back either.

--- a/internal/testbed/modelserver/endpoint.go
+++ b/internal/testbed/modelserver/endpoint.go
@@ -35,6 +35,7 @@
 	alive     bool
 	draining  bool
 	startedAt eventloop.Micros // 0: long ago
+	restart   eventloop.Timer  // nil: none is to come
 	listener  eventloop.Listener
 	conns     map[*endpointConn]int // with the order of their opening
 	lastConn  int
--- a/internal/testbed/modelserver/faults.go
+++ b/internal/testbed/modelserver/faults.go
@@ -20,14 +20,20 @@
 	reportAge       eventloop.Micros // load reports are refreshed only this often
 }
 
-// Crash kills the endpoint; it comes back after a while and warms up, or never if that is 0.
+// Crash kills the endpoint; it comes back after a while and warms up, or never if that is 0. Of several faults that end
+// with a restart the last one decides: a restart that is still to come would start an endpoint that runs by then.
 func (e *Endpoint) Crash(back eventloop.Micros) {
 	e.stop()
 	e.fleet.announce(e, endpoints.Gone)
+	if e.restart != nil {
+		e.restart.Stop()
+		e.restart = nil
+	}
 	if back == 0 {
 		return
 	}
-	e.fleet.loop.AfterFunc(back, func() {
+	e.restart = e.fleet.loop.AfterFunc(back, func() {
+		e.restart = nil
 		if err := e.start(e.fleet.loop.Now()); err == nil {
 			e.fleet.announce(e, endpoints.Ready)
 		}
