Chat API: a client's time counts from the first byte of its request

Cause: dispatch took the deadline from the moment the request was complete, and a pipelined one from its turn; the client counts from its first byte. The platform's path counts from the first byte already (receivedAt). Change: frontend keeps the time of the first byte, also of what is pipelined; chat and batches take their deadline from it.

--- a/internal/dispatch/batch_call.go
+++ b/internal/dispatch/batch_call.go
@@ -111,8 +111,8 @@
 	if c.clientLimit > 0 {
 		timeout = min(timeout, c.clientLimit)
 	}
-	c.class, c.deadline = class, d.loop.Now()+timeout
-	c.deadlineTimer = d.loop.AfterFunc(max(timeout-batchGrace, 0), c.deadlineExceeded)
+	c.class, c.deadline = class, c.response.ReceivedAt()+timeout
+	c.deadlineTimer = d.loop.AfterFunc(max(c.deadline-batchGrace-d.loop.Now(), 0), c.deadlineExceeded)
 	c.parts = batch.NewCall(nil, batch.PartLimits{})
 	if d.batches.limits.Cache > 0 && c.form == pb.Product_EMBEDDING {
 		c.cache = d.batches.vectorCache(c.identity.Space, c.dimensions)
--- a/internal/dispatch/chat.go
+++ b/internal/dispatch/chat.go
@@ -50,7 +50,7 @@
 		return problem
 	}
 	product := d.Deployment.Products[class]
-	options, problem := d.readChatOptions(head, product)
+	options, problem := readChatOptions(head, product, response.ReceivedAt())
 	if problem != nil {
 		return problem
 	}
@@ -105,7 +105,9 @@
 	return class, nil
 }
 
-func (d *Dispatcher) readChatOptions(head *http1.Head, product *pb.Product) (chatOptions, *frontend.Problem) {
+func readChatOptions(
+	head *http1.Head, product *pb.Product, receivedAt eventloop.Micros,
+) (chatOptions, *frontend.Problem) {
 	limit, problem := readMilliseconds(head, timeLimitField, minTimeLimit)
 	if problem != nil {
 		return chatOptions{}, problem
@@ -118,7 +120,7 @@
 	if limit > 0 {
 		timeout = min(timeout, limit)
 	}
-	return chatOptions{deadline: d.loop.Now() + timeout, heartbeat: heartbeat}, nil
+	return chatOptions{deadline: receivedAt + timeout, heartbeat: heartbeat}, nil
 }
 
 // readMilliseconds reads a field that holds a number of milliseconds; 0 where there is none.
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -22,6 +22,11 @@
 	timeout   eventloop.Timeout
 	scratch   []byte
 	closing   bool   // nothing more is read
+
+	// receivedAt is when the first byte of the request came that is read or answered, pipelinedAt that of what waits
+	// behind it.
+	receivedAt, pipelinedAt eventloop.Micros
+
 	order     uint64 // connections opened earlier have smaller ones
 	idleSince eventloop.Micros
 }
@@ -55,8 +60,13 @@
 	if c.closing {
 		return
 	}
+	now := c.server.loop.Now()
+	if c.parser.Buffered() == 0 {
+		c.pipelinedAt = now
+	}
 	if c.response == nil && c.parser.Idle() {
 		// A message has its time from its first byte on: bytes that trickle in earn no further time.
+		c.receivedAt = now
 		c.awaitMessage()
 	}
 	c.checkParsed(c.parser.Feed(data, c))
@@ -141,7 +151,11 @@
 // Head implements http1.Handler.
 func (c *connection) Head(head *http1.Head) error {
 	s := c.server
-	c.response = &Response{connection: c, keepAlive: head.KeepAlive() && !s.shuttingDown}
+	c.response = &Response{
+		connection: c,
+		keepAlive:  head.KeepAlive() && !s.shuttingDown,
+		receivedAt: c.receivedAt,
+	}
 	s.OpenRequests++
 	c.sink, c.problem = nil, nil
 	c.sink, c.problem = s.begin(head, c.response)
@@ -200,7 +214,7 @@
 // next makes the connection ready for another request.
 func (c *connection) next() {
 	s := c.server
-	c.response, c.idleSince = nil, s.loop.Now()
+	c.response, c.idleSince, c.receivedAt = nil, s.loop.Now(), c.pipelinedAt
 	c.timeout.Set(s.loop, s.limits.IdleTimeout, c.idleTimedOut)
 	c.conn.SetPaused(false)
 	c.checkParsed(c.parser.Resume(c))
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -12,9 +12,10 @@
 // Response carries one final answer to a client, and nothing after it.
 type Response struct {
 	connection  *connection
-	keepAlive   bool // the connection stays open after the answer
-	received    bool // the request has arrived to its end
-	started     bool // a streamed answer's first byte has been sent
+	keepAlive   bool             // the connection stays open after the answer
+	receivedAt  eventloop.Micros // when the request's first byte came
+	received    bool             // the request has arrived to its end
+	started     bool             // a streamed answer's first byte has been sent
 	done        bool
 	buffered    int // bytes of the request's body
 	maxBuffered int
@@ -28,6 +29,10 @@
 	OnDrained func()
 }
 
+// ReceivedAt returns when the first byte of the request came. Its client's time counts from there: it does not wait for
+// the request to arrive.
+func (r *Response) ReceivedAt() eventloop.Micros { return r.receivedAt }
+
 // Done reports whether the final answer was given, or the client has disconnected.
 func (r *Response) Done() bool { return r.done }
 
