--- a/internal/sockets/reserve_test.go
+++ b/internal/sockets/reserve_test.go
@@ -13,7 +13,8 @@
 
 // serveWithFewDescriptors is the process that runs out of descriptors: it answers each connection with its first bytes,
 // and obeys commands on its standard input, each with a line of output. "free N" leaves so many descriptors, "free"
-// restores the limit, "fds" prints how many are open, "cpu" how many milliseconds the process has worked.
+// restores the limit, "fds" prints how many are open, "cpu" how many milliseconds the process has worked; "respond" has it
+// reject connections with a whole response.
 func serveWithFewDescriptors() {
 	l, err := Start()
 	if err != nil {
@@ -42,6 +43,9 @@
 			var usage syscall.Rusage
 			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
 			fmt.Println((usage.Utime.Nano() + usage.Stime.Nano()) / time.Millisecond.Nanoseconds())
+		case "respond":
+			l.Do(func() { l.OverloadResponse = []byte(overloadResponse) })
+			fmt.Println("ok")
 		case "free":
 			_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
 			fmt.Println("ok")
