Sockets: a client rejected for want of a descriptor is answered whenever it sends within 0.1 s

Cause: reject set 3 ms for the write, and a process held up for them wrote nothing (i/o timeout, 0 bytes) and closed; it answered behind the first read and closed 3 ms later; and as one rejection waited for the one before, silent clients held up all others. Change: each rejection has a goroutine; it receives the whole request within 0.1 s of the connecting (TCP_INFO tells how long it has waited in the backlog), writes without a time limit, half-closes and waits for the client's close, at most 0.2 s and only while its descriptor is not needed. 1 to 8 at once, by the descriptors the process may have; with fewer than 100 the reserve is as large as before.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -21,7 +21,7 @@
 	bodyBytes int      // of its body since its time was last extended
 	timeout   eventloop.Timeout
 	scratch   []byte
-	closing   bool   // nothing more is read
+	closing   bool // nothing more is read
 
 	// receivedAt is when the first byte of the request came that is read or answered, pipelinedAt that of what waits
 	// behind it.
--- a/internal/sockets/listen.go
+++ b/internal/sockets/listen.go
@@ -101,7 +101,8 @@
 // client: while one is missing, the connection is rejected.
 func (ln *listener) serveOrReject(raw net.Conn) {
 	if !ln.loop.reserve.isComplete() {
-		ln.loop.reject(raw)
+		ln.loop.rejections.waitForCapacity()
+		ln.loop.rejections.start(raw)
 		return
 	}
 	ln.loop.Post(func() { ln.handToPoller(raw) })
@@ -114,7 +115,7 @@
 	c.handler = ln.accept(c)
 	socket, err := toPollerConn(raw)
 	if err != nil {
-		go ln.loop.reject(raw) // ends by its deadlines
+		ln.loop.rejections.start(raw)
 		c.cause = err
 		c.end()
 		return
--- a/internal/sockets/loop.go
+++ b/internal/sockets/loop.go
@@ -40,10 +40,11 @@
 	// beforeAccept, if set, is called before each connection is accepted; tests hold the listener up by it.
 	beforeAccept func()
 
-	engine  *nbio.Engine
-	epoch   time.Time
-	barrier *pollBarrier
-	reserve *descriptorReserve
+	engine     *nbio.Engine
+	epoch      time.Time
+	barrier    *pollBarrier
+	reserve    *descriptorReserve
+	rejections *rejections
 
 	// registered counts connections that were handed to the poller. What a connection consists of is written before it is
 	// counted, and the poller reads the count before it uses a connection: the way in which nbio passes connections on
@@ -86,7 +87,9 @@
 		l.engine.Stop()
 		return nil, err
 	}
-	l.reserve = newDescriptorReserve()
+	rejectionsAtOnce := rejectionLimit(descriptorLimit())
+	l.reserve = newDescriptorReserve(loopDescriptors + rejectionsAtOnce)
+	l.rejections = newRejections(l, rejectionsAtOnce)
 	go l.run()
 	return l, nil
 }
@@ -158,6 +161,7 @@
 	defer cancel()
 	_ = l.barrier.writeEnd.Close()
 	_ = l.engine.Shutdown(ctx)
+	l.rejections.stop()
 	l.reserve.close()
 }
 
--- a/internal/sockets/overload_test.go
+++ b/internal/sockets/overload_test.go
@@ -94,10 +94,7 @@
 // connection was shut 3 ms after its first bytes had come, and what came later was met with a reset.
 func TestRejectedClientsGetTheWholeAnswer(t *testing.T) {
 	small, large := requestOfSize(100), requestOfSize(200_000)
-	clients := map[string]struct {
-		request []byte
-		pieces  []piece
-	}{
+	clients := map[string]rejectedClient{
 		"small, at once":                  {small, []piece{{0, all}}},
 		"small, after 5 ms":               {small, []piece{{5 * time.Millisecond, all}}},
 		"small, after 15 ms":              {small, []piece{{15 * time.Millisecond, all}}},
@@ -108,18 +105,33 @@
 		"large, three pieces 10 ms apart": {large, []piece{{0, 70_000}, {10 * time.Millisecond, 70_000}, {20 * time.Millisecond, all}}},
 		"large, the end after 80 ms":      {large, []piece{{5 * time.Millisecond, 199_000}, {80 * time.Millisecond, all}}},
 	}
-	s := startLimitedServer(t)
-	s.command("respond")
-	s.command("free 0")
-	stopSilentClients := connectSilentClients(t, s.addr, 20*time.Millisecond)
-	defer stopSilentClients()
+	for _, atOnce := range []int{maxRejections, 1} {
+		t.Run(fmt.Sprintf("%d at once", atOnce), func(t *testing.T) {
+			s := startLimitedServer(t)
+			s.command("respond %d", atOnce)
+			s.command("free 0")
+			stopSilentClients := connectSilentClients(t, s.addr, 20*time.Millisecond)
+			defer stopSilentClients()
+			checkRejectedClients(t, s.addr, clients)
+		})
+	}
+}
+
+// rejectedClient is a client whose request is sent in pieces.
+type rejectedClient struct {
+	request []byte
+	pieces  []piece
+}
+
+func checkRejectedClients(t *testing.T, address string, clients map[string]rejectedClient) {
+	t.Helper()
 	const rounds = 15
 	var group sync.WaitGroup
 	for name, client := range clients {
 		group.Go(func() {
 			answered, lost := 0, map[string]int{}
 			for range rounds {
-				if got := sendInPieces(s.addr, client.request, client.pieces); got == overloadResponse {
+				if got := sendInPieces(address, client.request, client.pieces); got == overloadResponse {
 					answered++
 				} else {
 					lost[got]++
@@ -192,3 +204,41 @@
 		<-done
 	}
 }
+
+// The time that a client has to send its request counts from its connecting, also where it waited to be accepted.
+func TestSilentTimeCountsFromTheConnecting(t *testing.T) {
+	const waited = 60 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, listener)
+	_ = dialRaw(t, listener.Addr().String())
+	<-time.After(waited)
+	raw, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, raw)
+	if silent := silentFor(raw); silent < waited-10*time.Millisecond {
+		t.Errorf("silent for %v, connected %v ago", silent, waited)
+	}
+}
+
+// Many more silent clients than can be held at once do not keep others from their answer.
+func TestSilentClientsDoNotHoldUpRejections(t *testing.T) {
+	const aim = time.Second
+	s := startLimitedServer(t)
+	s.command("respond %d", maxRejections)
+	s.command("free 0")
+	stopSilentClients := connectSilentClients(t, s.addr, 2*time.Millisecond)
+	defer stopSilentClients()
+	request := requestOfSize(100)
+	for round := range 40 {
+		began := time.Now()
+		got := sendInPieces(s.addr, request, []piece{{0, 30}, {10 * time.Millisecond, all}})
+		if took := time.Since(began); got != overloadResponse || took > aim {
+			t.Errorf("round %d: %v after %v", round, got, took)
+		}
+	}
+}
--- a/internal/sockets/reserve.go
+++ b/internal/sockets/reserve.go
@@ -7,20 +7,22 @@
 	"syscall"
 )
 
-// reservedDescriptors is how many descriptors are reserved: for the endpoint list, for releasing what endpoints hold
-// for requests, and for rejecting clients. A connection that is dialled takes two for a moment, as nbio duplicates its
-// descriptor.
-const reservedDescriptors = 6
+// loopDescriptors are reserved for the loop: for the endpoint list, and for releasing what endpoints hold for requests.
+// A connection that is dialled takes two for a moment, as nbio duplicates its descriptor. Further ones are reserved for
+// rejecting clients.
+const loopDescriptors = 5
 
 // descriptorReserve holds descriptors that are released when something that must not wait finds none left, and are
 // taken again as soon as possible. It is used by the loop and by the goroutines that accept; Stop closes it.
 type descriptorReserve struct {
+	capacity int
+
 	mu    sync.Mutex
 	files []*os.File
 }
 
-func newDescriptorReserve() *descriptorReserve {
-	r := &descriptorReserve{}
+func newDescriptorReserve(capacity int) *descriptorReserve {
+	r := &descriptorReserve{capacity: capacity}
 	_ = r.fill()
 	return r
 }
@@ -29,7 +31,7 @@
 func (r *descriptorReserve) fill() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for len(r.files) < reservedDescriptors {
+	for len(r.files) < r.capacity {
 		f, err := os.Open(os.DevNull)
 		if err != nil {
 			return err
--- a/internal/sockets/reserve_test.go
+++ b/internal/sockets/reserve_test.go
@@ -13,8 +13,8 @@
 
 // serveWithFewDescriptors is the process that runs out of descriptors: it answers each connection with its first bytes,
 // and obeys commands on its standard input, each with a line of output. "free N" leaves so many descriptors, "free"
-// restores the limit, "fds" prints how many are open, "cpu" how many milliseconds the process has worked; "respond" has it
-// reject connections with a whole response.
+// restores the limit, "fds" prints how many are open, "cpu" how many milliseconds the process has worked; "respond N" has it
+// reject connections with a whole response, so many at once.
 func serveWithFewDescriptors() {
 	l, err := Start()
 	if err != nil {
@@ -43,13 +43,16 @@
 			var usage syscall.Rusage
 			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
 			fmt.Println((usage.Utime.Nano() + usage.Stime.Nano()) / time.Millisecond.Nanoseconds())
-		case "respond":
-			l.Do(func() { l.OverloadResponse = []byte(overloadResponse) })
-			fmt.Println("ok")
 		case "free":
 			_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
 			fmt.Println("ok")
 		default:
+			atOnce := 0
+			if _, err := fmt.Sscanf(command, "respond %d", &atOnce); err == nil {
+				l.Do(func() { l.OverloadResponse, l.rejections.max = []byte(overloadResponse), atOnce })
+				fmt.Println("ok")
+				continue
+			}
 			free := 0
 			_, _ = fmt.Sscanf(command, "free %d", &free)
 			_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: limitThatLeaves(free), Max: limit.Max})
