Failing: an answer that comes while its request is being sent is lost

Cause: sockets/write.go send closes the socket as a write fails, with what has arrived unread; engine/connection.go Data takes no answer before the request has left, whatever it says.

--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,6 +125,40 @@
 	}
 }
 
+// TestLoopbackEndpointDeclinesEarly: a decode endpoint that is full declines a large request once it has read its head,
+// and closes, by which the rest of the request is met with a reset. What the answer says decides: the request is sent
+// elsewhere, with side effects too, and the endpoint is neither taken for broken nor for out of reach. Before, the
+// answer was lost with the write that failed, or was not taken for one.
+func TestLoopbackEndpointDeclinesEarly(t *testing.T) {
+	for _, size := range []int{4 << 10, 250 << 10} {
+		var declines atomic.Int64
+		full := newPeer(t, "s-1", "decode", func(_ *peer, c net.Conn, in *bufio.Reader) {
+			if line, err := in.ReadString('\n'); err != nil || strings.HasPrefix(line, "DELETE") {
+				rest := bufio.NewReader(io.MultiReader(strings.NewReader(line), in))
+				answering("HTTP/1.1 204 No Content\r\n\r\n")(&peer{}, c, rest)
+				return
+			}
+			declines.Add(1)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+			_ = c.Close()
+		})
+		env := newLoopback(t, goodPrefill(t), full, goodDecode(t))
+		for i := range 12 {
+			c, in := env.dial()
+			env.send(c, requestOf("post", fmt.Sprint(i), size))
+			if got, body := env.status(in); got != 200 || !strings.Contains(body, "Lamu") {
+				t.Errorf("%d kB: answered %d with %.60q", size>>10, got, body)
+			}
+		}
+		env.loop.Do(func() {
+			outcomes := env.dispatcher.Outcomes
+			if n := declines.Load(); n == 0 || int64(outcomes[scheduler.NoCapacity]) != n {
+				t.Errorf("%d kB: declined %d times, outcomes %v", size>>10, n, outcomes)
+			}
+		})
+	}
+}
+
 // TestLoopbackOlderList: a drain stands, whatever an older list says behind it in the same read.
 func TestLoopbackOlderList(t *testing.T) {
 	prefill, stays := goodPrefill(t), goodDecode(t)
