An answer that comes while its request is being sent counts, and is not lost

Symptom: a host that declines a large prompt early counts as out of reach, or as one that may have run it. Cause: a write that met the reset closed the socket with the answer unread, although the system still had it (a client of the standard library reads it); and the engine took whatever came before the last byte had left for no response. Change: a failing write reads what has arrived before it closes; the engine parses a response whenever it comes. One that says that nothing has run decides, also where it ends with the connection; any other is no answer to an incomplete request, which has not run, as before.

--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 
 	"plumspindle/internal/eventloop"
@@ -17,8 +18,13 @@
 var (
 	errUnrequested     = errors.New("response to no request")
 	errResponseTooLong = errors.New("response is too long")
+	errEarlyResponse   = errors.New("response before the request had left")
 )
 
+// earlyResult is the result of an attempt that was answered before its last byte had left, unless the response rejects
+// it: whatever it says, an incomplete request has not run.
+var earlyResult = Result{Outcome: scheduler.Unreachable, Reason: errEarlyResponse.Error()}
+
 // connection is one connection to an endpoint; it carries one attempt at a time.
 type connection struct {
 	engine   *Engine
@@ -79,11 +85,12 @@
 		c.conn.Abort()
 		return
 	}
-	if c.attempt.Unsent() { // whatever it is, it is no response to what has not left
-		c.attempt.abort(Result{Outcome: scheduler.Unreachable, Reason: "response before the request had left"})
-		return
-	}
-	if err := c.parser.Feed(data, c); err != nil && c.attempt != nil {
+	err := c.parser.Feed(data, c)
+	switch {
+	case err == nil || c.attempt == nil:
+	case c.attempt.Unsent():
+		c.attempt.abort(earlyResult)
+	default:
 		c.attempt.abort(c.attempt.brokenResult(scheduler.Errored, err.Error()))
 	}
 }
@@ -108,6 +115,11 @@
 }
 
 func (c *connection) closedBeforeSent(cause error) {
+	c.bodyCut = true
+	_ = c.parser.Close(c)
+	if c.attempt == nil { // it was rejected before it had left, and the response's body ended with the connection
+		return
+	}
 	attempt := c.release()
 	if errors.Is(cause, eventloop.ErrNoDescriptors) && c.engine.startAfterEviction(attempt) {
 		return
@@ -143,6 +155,9 @@
 	if c.attempt == nil {
 		return errUnrequested
 	}
+	if c.attempt.Unsent() && head.Status < http.StatusMultipleChoices {
+		return errEarlyResponse
+	}
 	c.attempt.head, c.closesAfter = head, !head.KeepAlive()
 	c.attempt.memoryUsage = memoryUsage(head)
 	return nil
@@ -161,12 +176,15 @@
 	if c.attempt == nil {
 		return errUnrequested
 	}
-	result := c.readResult()
+	result, unsent := c.readResult(), c.attempt.Unsent()
+	if unsent && !result.Outcome.KnownNotRun() {
+		result = earlyResult
+	}
 	attempt := c.release()
-	attempt.sent = true
+	attempt.sent = !unsent
 	c.conn.SetPaused(false)
 	switch {
-	case c.parser.Pipelined() > 0: // what follows a response must not be taken for the next one
+	case unsent, c.parser.Pipelined() > 0: // what follows a response must not be taken for the next one
 		c.conn.Abort()
 	case c.closesAfter || c.closed || c.outdated():
 		c.conn.Close()
--- a/internal/sockets/write.go
+++ b/internal/sockets/write.go
@@ -39,6 +39,7 @@
 	var failure error
 	c.withDescriptor(func(fd int) { b, failure = writeAll(fd, b) })
 	if failure != nil {
+		c.read(c.socket)                     // what the other side sent before it closed has arrived
 		_ = c.socket.CloseWithError(failure) // socketClosed follows
 	}
 	return b
