--- a/internal/cli/sim_replay.go
+++ b/internal/cli/sim_replay.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"fmt"
 	"os"
 	"strconv"
 
@@ -48,30 +47,11 @@
 	for i, event := range events {
 		isFault := event.Type == record.FaultInjected || event.Type == record.DispatcherKilled
 		if isFault || event.Request == c.Trace || "host:"+strconv.Itoa(int(event.Endpoint)) == c.Trace {
-			env.printf("%6d %10.3f ms  %s\n", i+1, float64(event.At-begin)/1000, eventText(event))
+			env.printf("%6d %10.3f ms  %s\n", i+1, float64(event.At-begin)/1000, event.Text())
 		}
 	}
 }
 
-func eventText(event record.Event) string {
-	text := fmt.Sprintf("%-9s", event.Type)
-	for _, field := range []struct{ name, value string }{
-		{"generation", event.Request},
-		{"leg", event.Attempt},
-		{"dispatcher", event.Dispatcher},
-		{"kind", event.Kind},
-		{"how", event.Detail},
-	} {
-		if field.value != "" {
-			text += " " + field.name + " " + field.value
-		}
-	}
-	if event.Endpoint > 0 {
-		text += fmt.Sprintf(" host %d", event.Endpoint)
-	}
-	return text
-}
-
 type simShrink struct {
 	drawnScenario
 	Out string `type:"path" help:"File that the script is written to; it is printed otherwise."`
--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -52,6 +52,7 @@
 	Rows             []*Row
 	PeakSlowStartUse float64 // the largest share of its budget that an endpoint used during slow start
 	Service          float64 // revenue in the SLO time, and late by its share, over revenue asked for
+	Evidence         string  // the events of requests by which rules were broken; empty: none was
 }
 
 // Rules, by their index in a verdict.
@@ -148,6 +149,7 @@
 	judging.checkSlowStart(events)
 	judging.checkPinnedState(events)
 	judging.summariseService(events)
+	judging.gatherEvidence(events)
 	return judging.verdict
 }
 
--- a/internal/testbed/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -154,6 +154,22 @@
 	}
 }
 
+// A verdict on a broken rule comes with the events of its request, and with the hold-ups of the test bed.
+func TestEvidenceOfAViolation(t *testing.T) {
+	late := record.Event{At: 300 * ms, Type: record.TestBedDelayed, Detail: "hosts", Count: 120 * ms}
+	other := record.Event{At: 310 * ms, Type: record.RequestSent, Request: "g2", ClientAttempt: 1, Dispatcher: "d1"}
+	events := inTurn(remove(finalAnswer, finalAnswer+1), insert(decodeLeft, late, other))(cleanRecord())
+	evidence := Judge(deployment.Standard(), events).Evidence
+	for _, want := range []string{"generation g1 leg d1-1-0", "how hosts 120 ms"} {
+		if !strings.Contains(evidence, want) {
+			t.Errorf("%q is missing in:\n%s", want, evidence)
+		}
+	}
+	if clean := Judge(deployment.Standard(), cleanRecord()).Evidence; clean != "" {
+		t.Errorf("a clean record has evidence:\n%s", clean)
+	}
+}
+
 func TestKilledDispatcherNeedNotAnswer(t *testing.T) {
 	events := insert(finalAnswer, record.Event{At: 500 * ms, Type: record.DispatcherKilled,
 		Dispatcher: "d1"})(cleanRecord())
--- a/internal/testbed/audit/service.go
+++ b/internal/testbed/audit/service.go
@@ -88,6 +88,7 @@
 	for i, rule := range v.Rules {
 		text.WriteString(rule.text(i + 1))
 	}
+	text.WriteString(v.Evidence)
 	return text.String()
 }
 
--- a/internal/testbed/load/attempt.go
+++ b/internal/testbed/load/attempt.go
@@ -47,6 +47,7 @@
 	exact    bool   // the answer is what the endpoints gave
 	tokens   int    // of the answer
 	failure  string // why the answer is no good
+	cause    string // of the connection's end, where it brought no final answer
 }
 
 // call is an HTTP request of a client.
@@ -73,7 +74,7 @@
 	g := a.generator
 	g.recorder.Add(record.Event{At: int64(g.loop.Now()), Type: eventType, Request: a.request, ClientAttempt: a.number,
 		Dispatcher: a.dispatcher, Product: a.product, Tenant: g.deployment.Tenants[a.tenant].Name, Detail: detail,
-		Count: int64(a.tokens), Exact: a.exact, Value: float64(a.timeLimit)})
+		Count: int64(a.tokens), Exact: a.exact, Value: float64(a.timeLimit), Kind: a.cause})
 }
 
 // Opened sends the request.
@@ -108,12 +109,13 @@
 }
 
 // Closed ends an attempt that has no final answer.
-func (a *attempt) Closed(error) {
+func (a *attempt) Closed(cause error) {
 	switch {
 	case a.ended:
 	case !a.sent:
 		a.finish(record.Unreached)
 	default:
+		a.cause = cause.Error()
 		a.finish(record.Broken)
 	}
 }
--- a/internal/testbed/record/record.go
+++ b/internal/testbed/record/record.go
@@ -19,7 +19,8 @@
 // What clients see.
 const (
 	RequestSent EventType = "ask" // Value is the client's time limit in µs
-	// Detail is an outcome, Count the tokens, Exact whether they are the right ones
+	// Detail is an outcome, Count the tokens, Exact whether they are the right ones, Kind why the connection ended that
+	// brought none
 	FinalAnswer     EventType = "final"
 	BytesAfterFinal EventType = "after"     // Detail is "bytes" or "event"
 	MalformedAnswer EventType = "malformed" // Detail is the error
@@ -54,6 +55,7 @@
 	DispatcherUnavailable EventType = "away"    // for Count µs; Detail is Frozen or Partitioned
 	FaultInjected         EventType = "trouble" // Kind and Detail are the script's
 	NetworkLatency        EventType = "world"   // of a run in virtual time; Count is in µs
+	TestBedDelayed        EventType = "late"    // a loop of the test bed, named by Detail, was held up for Count µs
 )
 
 // Outcomes of a request, as its client sees them.
@@ -100,6 +102,29 @@
 	Exact         bool      `json:"exact,omitempty"`
 }
 
+// Text returns the event as it is printed, without its time.
+func (e Event) Text() string {
+	text := fmt.Sprintf("%-9s", e.Type)
+	for _, field := range []struct{ name, value string }{
+		{"generation", e.Request},
+		{"leg", e.Attempt},
+		{"dispatcher", e.Dispatcher},
+		{"kind", e.Kind},
+		{"how", e.Detail},
+	} {
+		if field.value != "" {
+			text += " " + field.name + " " + field.value
+		}
+	}
+	if e.Endpoint > 0 {
+		text += fmt.Sprintf(" host %d", e.Endpoint)
+	}
+	if e.Type == TestBedDelayed {
+		text += fmt.Sprintf(" %d ms", e.Count/1000)
+	}
+	return text
+}
+
 // bufferSize is that of writes to a record's file, and the longest line that is read.
 const bufferSize = 1 << 20
 
--- a/internal/testbed/scenarios/sockets.go
+++ b/internal/testbed/scenarios/sockets.go
@@ -71,6 +71,8 @@
 		return err
 	}
 	defer r.fleetLoop.Do(r.fleet.Close)
+	r.fleetLoop.Do(func() { recordDelays(r.fleetLoop, r.recorder, "hosts") })
+	r.clientLoop.Do(func() { recordDelays(r.clientLoop, r.recorder, "clients") })
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.sockets.restarts.Wait()
 	defer cancel() // a dispatcher that comes back too late for the scenario's end goes with it
