--- a/internal/dispatch/clients_test.go
+++ b/internal/dispatch/clients_test.go
@@ -104,10 +104,10 @@
 }
 
 // A request may take a while to arrive, and wait behind another one on its connection; its client has counted from the
-// moment it sent the first byte. Where the dispatcher counted from the last byte, or from the request's turn, the answer
-// came after the client had given up: in the seeds of faultsearch/testdata/small-segments-*, whose requests arrive within
-// 0.6 to 22 ms, 18 answers did. The debug figure that showed it was the time between a request's first byte and its
-// handling.
+// moment it sent the first byte. Where the dispatcher counted from the last byte, or from the request's turn, the
+// answer came after the client had given up: in the seeds of faultsearch/testdata/small-segments-*, whose requests
+// arrive within 0.6 to 22 ms, 18 answers did. The debug figure that showed it was the time between a request's first
+// byte and its handling.
 func TestTimeLimitCountsFromTheFirstByte(t *testing.T) {
 	const limit = 900 * eventloop.Millisecond
 	body := `{"model":"explain","messages":[{"role":"user","content":"why?"}]}`
--- a/internal/sockets/overload_test.go
+++ b/internal/sockets/overload_test.go
@@ -90,19 +90,22 @@
 const all = -1
 
 // Clients that connect while a process has no descriptor left, and have sent their request within 100 ms, each get the
-// whole answer, however the request comes; a client that sends nothing every 20 ms does not keep them from it. Before, a
-// connection was shut 3 ms after its first bytes had come, and what came later was met with a reset.
+// whole answer, however the request comes; a client that sends nothing every 20 ms does not keep them from it. Before,
+// a connection was shut 3 ms after its first bytes had come, and what came later was met with a reset.
 func TestRejectedClientsGetTheWholeAnswer(t *testing.T) {
 	small, large := requestOfSize(100), requestOfSize(200_000)
+	inThree := func(size int) []piece {
+		return []piece{{0, size}, {10 * time.Millisecond, size}, {20 * time.Millisecond, all}}
+	}
 	clients := map[string]rejectedClient{
 		"small, at once":                  {small, []piece{{0, all}}},
 		"small, after 5 ms":               {small, []piece{{5 * time.Millisecond, all}}},
 		"small, after 15 ms":              {small, []piece{{15 * time.Millisecond, all}}},
 		"small, after 60 ms":              {small, []piece{{60 * time.Millisecond, all}}},
-		"small, three pieces 10 ms apart": {small, []piece{{0, 10}, {10 * time.Millisecond, 40}, {20 * time.Millisecond, all}}},
+		"small, three pieces 10 ms apart": {small, inThree(30)},
 		"small, the end after 80 ms":      {small, []piece{{0, 60}, {80 * time.Millisecond, all}}},
 		"large, at once":                  {large, []piece{{0, all}}},
-		"large, three pieces 10 ms apart": {large, []piece{{0, 70_000}, {10 * time.Millisecond, 70_000}, {20 * time.Millisecond, all}}},
+		"large, three pieces 10 ms apart": {large, inThree(70_000)},
 		"large, the end after 80 ms":      {large, []piece{{5 * time.Millisecond, 199_000}, {80 * time.Millisecond, all}}},
 	}
 	for _, atOnce := range []int{maxRejections, 1} {
@@ -151,8 +154,8 @@
 	return append([]byte(head), bytes.Repeat([]byte("x"), size)...)
 }
 
-// sendInPieces sends a request on a connection of its own, and returns the answer. A client that can't send on gives up:
-// its connection was reset, which may take the answer away.
+// sendInPieces sends a request on a connection of its own, and returns the answer. A client that can't send on gives
+// up: its connection was reset, which may take the answer away.
 func sendInPieces(address string, request []byte, pieces []piece) string {
 	c, err := net.DialTimeout("tcp", address, answerPatience)
 	if err != nil {
--- a/internal/sockets/reserve_test.go
+++ b/internal/sockets/reserve_test.go
@@ -13,8 +13,8 @@
 
 // serveWithFewDescriptors is the process that runs out of descriptors: it answers each connection with its first bytes,
 // and obeys commands on its standard input, each with a line of output. "free N" leaves so many descriptors, "free"
-// restores the limit, "fds" prints how many are open, "cpu" how many milliseconds the process has worked; "respond N" has it
-// reject connections with a whole response, so many at once.
+// restores the limit, "fds" prints how many are open, "cpu" how many milliseconds the process has worked; "respond N"
+// has it reject connections with a whole response, so many at once.
 func serveWithFewDescriptors() {
 	l, err := Start()
 	if err != nil {
