Audit: hold-ups of the test bed's own loops are not the dispatcher's

Symptom: TestScenarioOverSocketsPassesAudit, rule 5, a state that waited too long, once, on a busy machine. Cause: hosts and clients are one process; while it is held up, what comes to its sockets is recorded late, and the audit counted that for the dispatcher.

--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -112,6 +112,7 @@
 	// only.
 	slack          int64
 	unavailable    map[string][]unavailability // by dispatcher
+	holdUps        map[string][]unavailability // by the test bed's loop
 	killed         map[string][]int64          // times, by a dispatcher's name with and without its incarnation
 	refused        map[string]int64            // when an endpoint said that it had not run an attempt
 	clientAttempts map[clientAttemptKey]*clientAttempt
@@ -129,6 +130,7 @@
 		products:       map[string]*pb.Product{},
 		slack:          socketSlack,
 		unavailable:    map[string][]unavailability{},
+		holdUps:        map[string][]unavailability{},
 		killed:         map[string][]int64{},
 		refused:        map[string]int64{},
 		clientAttempts: map[clientAttemptKey]*clientAttempt{},
@@ -183,6 +185,8 @@
 		case record.DispatcherUnavailable:
 			j.unavailable[event.Dispatcher] = append(j.unavailable[event.Dispatcher], unavailability{
 				from: event.At, to: event.At + event.Count, partitioned: event.Detail == record.Partitioned})
+		case record.TestBedDelayed:
+			j.holdUps[event.Detail] = append(j.holdUps[event.Detail], unavailability{from: event.At - event.Count, to: event.At})
 		case record.DispatcherKilled:
 			j.gatherKill(event)
 		case record.AttemptRefused:
--- a/internal/testbed/audit/finalanswers.go
+++ b/internal/testbed/audit/finalanswers.go
@@ -82,7 +82,7 @@
 // before.
 func (j *judge) isLate(a *clientAttempt, event record.Event) bool {
 	due := a.sentAt + a.timeLimit
-	return a.timeLimit > 0 && event.At > due+j.slack &&
+	return a.timeLimit > 0 && event.At-j.heldUp(record.ClientsLoop, due, event.At) > due+j.slack &&
 		!j.wasFrozen(event.Dispatcher, a.sentAt) && !j.wasFrozen(event.Dispatcher, due)
 }
 
@@ -92,6 +92,11 @@
 	case record.Broken:
 		return j.wasKilled(withoutIncarnation(event.Dispatcher), a.sentAt, event.At)
 	case record.GaveUp:
+		// A client that was held up at its time may have had the answer, and not read it.
+		due := a.sentAt + a.timeLimit
+		if a.timeLimit > 0 && j.heldUp(record.ClientsLoop, due-j.slack, event.At) > 0 {
+			return true
+		}
 		// A dispatcher that was frozen when the request came counts the client's time from when it read it.
 		return j.wasKilled(withoutIncarnation(event.Dispatcher), a.sentAt, event.At) ||
 			j.wasFrozen(event.Dispatcher, a.sentAt) || j.wasFrozen(event.Dispatcher, event.At)
--- a/internal/testbed/audit/pinnedstate.go
+++ b/internal/testbed/audit/pinnedstate.go
@@ -56,13 +56,19 @@
 			end = until
 		}
 		if a.takenAt < until && end > idleFrom {
-			longest = max(longest, j.longestAvailable(dispatcher, idleFrom, a.takenAt))
+			longest = max(longest, j.waited(dispatcher, idleFrom, a.takenAt))
 			idleFrom = end
 		}
 	}
-	longest = max(longest, j.longestAvailable(dispatcher, idleFrom, until))
+	longest = max(longest, j.waited(dispatcher, idleFrom, until))
 	if longest > int64(j.deployment.Rules.LetGoMs)*millisecond+j.slack {
 		j.violation(rulePinnedState, state.line, state.event.Request, "the state of leg %s waited for %d ms with no leg out",
 			state.event.Attempt, longest/millisecond)
 	}
 }
+
+// waited returns for how long a state waited for an available dispatcher, by hosts that were not held up: they record
+// late what came while they were.
+func (j *judge) waited(dispatcher string, from, to int64) int64 {
+	return j.longestAvailable(dispatcher, from, to) - j.heldUp(record.HostsLoop, from, to)
+}
--- a/internal/testbed/audit/unavailability.go
+++ b/internal/testbed/audit/unavailability.go
@@ -90,3 +90,11 @@
 	}
 	return longest
 }
+
+// heldUp returns for how long a loop of the test bed was held up within a span. What it records then comes late.
+func (j *judge) heldUp(loop string, from, to int64) (total int64) {
+	for _, holdUp := range j.holdUps[loop] {
+		total += max(min(holdUp.to, to)-max(holdUp.from, from), 0)
+	}
+	return total
+}
