--- a/internal/testbed/audit/excuses_test.go
+++ b/internal/testbed/audit/excuses_test.go
@@ -100,7 +100,7 @@
 		rule   int // the only one that is broken
 	}{
 		{"a state, the hosts held up", releasedLateBy(heldUp(900, 780, record.HostsLoop)), noRule},
-		{"a state, the hosts held up for too little of it", releasedLateBy(heldUp(900, 100, record.HostsLoop)), rulePinnedState},
+		{"a state, the hosts held up for too little", releasedLateBy(heldUp(900, 100, record.HostsLoop)), rulePinnedState},
 		{"a state, the clients held up", releasedLateBy(heldUp(900, 780, record.ClientsLoop)), rulePinnedState},
 		{"a state, the hosts held up afterwards", releasedLateBy(heldUp(2000, 780, record.HostsLoop)), rulePinnedState},
 		{"given up on, the clients held up", gaveUpAt(801, heldUp(800, 350, record.ClientsLoop)), noRule},
