--- a/internal/sockets/overload.go
+++ b/internal/sockets/overload.go
@@ -71,11 +71,6 @@
 	onAnswered func()
 }
 
-// reject answers a connection with the overload response and closes it.
-func (l *Loop) reject(raw net.Conn) {
-	l.newRejection(raw, func() { _ = raw.SetReadDeadline(time.Now().Add(rejectLingerTimeout)) }).run()
-}
-
 func (l *Loop) newRejection(raw net.Conn, onAnswered func()) *rejection {
 	return &rejection{raw: raw, response: l.OverloadResponse, parser: http1.Parser{Limits: rejectedLimits},
 		onAnswered: onAnswered}
--- a/internal/sockets/overload_test.go
+++ b/internal/sockets/overload_test.go
@@ -45,6 +45,11 @@
 	return err
 }
 
+// reject answers a connection with the overload response and closes it.
+func (l *Loop) reject(raw net.Conn) {
+	l.newRejection(raw, func() { _ = raw.SetReadDeadline(time.Now().Add(rejectLingerTimeout)) }).run()
+}
+
 // A dispatcher on a busy machine rejects a client for want of a descriptor, and has to answer it all the same. It did
 // not: the 3 ms that it gave the write were over before the write began, which then wrote nothing; the connection was
 // closed, and its client read a clean end without an answer. Of 160,000 rejections beside 90 busy processes 8 ended so,
