Review, case 2: a repeat that comes during the first prefill is never answered

Cause: a request whose client left in its prefill keeps its Idempotency-Key until the prefill ends, if attempts may not be cancelled. A repeat with the key joins it, and is dropped with it, without a final answer.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -13,6 +13,7 @@
 // cases are the cases by the number of their folder.
 var cases = map[string]func(*run) (broken []string, err error){
 	"1": floodingTenant,
+	"2": repeatDuringPrefill,
 }
 
 func main() {
