Review, case 3: a deduplicated generation is sent again unmarked and applied twice

Cause: on the chat API, no field that names a request goes to decode hosts: Idempotency-Key is not passed on, and x-request-id is a new one for each attempt. After a reset the hosts can't know the repeat as one.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(*run) (broken []string, err error){
 	"1": floodingTenant,
 	"2": repeatDuringPrefill,
+	"3": markedRepeat,
 }
 
 func main() {
