--- a/review/driver-2/agent.go
+++ b/review/driver-2/agent.go
@@ -21,7 +21,7 @@
 	mu      sync.Mutex
 	version int
 	entries []entry
-	watches map[net.Conn]bool
+	watches map[net.Conn]bool // false once a watch has fallen silent
 }
 
 // entry is one model host in the list.
@@ -77,6 +77,7 @@
 	a.mu.Lock()
 	delay := a.delay
 	a.mu.Unlock()
+	a.w.log("%s gets a call: %s", a.name, request.URL)
 	time.Sleep(delay)
 	a.mu.Lock()
 	list := listJSON(a.version, true, a.entries)
@@ -95,14 +96,35 @@
 	a.mu.Unlock()
 }
 
+// writeAll writes to all watches that are not silent.
 func (a *agent) writeAll(text string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for conn, open := range a.watches {
+		if open {
+			io.WriteString(conn, chunk(text))
+		}
+	}
+}
+
+// silence makes all open watches silent for good. Their connections stay open.
+func (a *agent) silence() {
+	a.w.log("%s: all open watches fall silent", a.name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for conn := range a.watches {
-		io.WriteString(conn, chunk(text))
+		a.watches[conn] = false
 	}
 }
 
+// setDelay sets the time from a call to its answer.
+func (a *agent) setDelay(delay time.Duration) {
+	a.w.log("%s answers calls after %v from now on", a.name, delay)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.delay = delay
+}
+
 // change changes one entry and tells it to all open watches.
 func (a *agent) change(changed entry) {
 	a.mu.Lock()
--- a/review/driver-2/host.go
+++ b/review/driver-2/host.go
@@ -46,6 +46,7 @@
 	freeAt    time.Time
 	conns     map[net.Conn]bool
 	down      bool
+	draining  bool // what comes is turned away
 	readDone  int
 	refused   int
 	readSince time.Time
@@ -133,7 +134,13 @@
 	if h.onArrival != nil {
 		h.onArrival(dispatcher, id)
 	}
-	if h.reader {
+	h.mu.Lock()
+	draining := h.draining
+	h.mu.Unlock()
+	switch {
+	case draining:
+		return write(conn, declined)
+	case h.reader:
 		return h.read(conn, request, id)
 	}
 	return h.write(conn, id)
