Review cases 7 and 8: the memory counts without the pages of the program file

Cause: the peak of all resident memory also counts pages of the program file, which a platform may leave out.

Done: the stand-in of the platform reads RssAnon.

--- a/review/driver-2/memory.go
+++ b/review/driver-2/memory.go
@@ -14,7 +14,7 @@
 // memoryCase lets a few clients send bodies that can't be read, and watches the dispatcher's memory as the platform
 // does, while usual clients are served.
 func memoryCase(w *world) string {
-	limitMB := 64
+	limitMB := 48
 	if v, err := strconv.Atoi(os.Getenv("LIMIT_MB")); err == nil {
 		limitMB = v
 	}
--- a/review/driver-2/world.go
+++ b/review/driver-2/world.go
@@ -216,13 +216,13 @@
 // enforceMemory does what the platform does with a dispatcher over its limit: it kills it.
 func (d *dispatcher) enforceMemory(limitMB int) {
 	for !d.hasEnded() && !d.w.ended.Load() {
-		kb := d.residentKB("VmHWM") // as a limit on the process would see it
+		kb := d.residentKB("RssAnon") // without the pages of the program file
 		if kb > d.peakKB.Load() {
 			d.peakKB.Store(kb)
 		}
 		if kb > int64(limitMB)*1024 {
 			d.killedFor.Store(true)
-			d.w.log("%s has held %d kB, its limit is %d MB: the platform kills it", d.name, kb, limitMB)
+			d.w.log("%s holds %d kB, its limit is %d MB: the platform kills it", d.name, kb, limitMB)
 			d.cmd.Process.Kill()
 			return
 		}
