--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 	echo "build first: the build of deploy/balancer.toml, then review/build-2.sh"
 	exit 2
 fi
-exec bin/driver-2 -case memory -root . -record review/8/record.txt
+exec bin/driver-2 -case nested -root . -record review/8/record.txt
--- a/review/driver-2/cold.go
+++ b/review/driver-2/cold.go
@@ -18,54 +18,98 @@
 	return standard
 }
 
-// coldCase: a reader of a slower kind dies under load and comes back cold, beside readers of a faster kind.
+// budget counts what reaches a host that has started cold, and tells when it falls.
+type budget struct {
+	mu        sync.Mutex
+	startedAt time.Time
+	told      []time.Time // when each dispatcher was told of the start
+	arrivals  []arrival
+	fallen    bool
+	first     int     // first arrival of the current span
+	limit     float64 // more than this many requests within a span make the host fall
+	most      int     // requests in the fullest span so far
+	mostTold  int     // of these, from dispatchers that were told
+}
+
+type arrival struct {
+	at         time.Time
+	dispatcher int
+}
+
+const (
+	coldFrom = 0.25
+	coldFor  = 14 * time.Second
+	multiple = 2.5
+	span     = 2 * time.Second
+)
+
+// add counts a request and reports whether the host falls now.
+func (b *budget) add(dispatcher int) (falls bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.startedAt.IsZero() || b.fallen || time.Since(b.startedAt) > coldFor {
+		return false
+	}
+	now := time.Now()
+	b.arrivals = append(b.arrivals, arrival{now, dispatcher})
+	for now.Sub(b.arrivals[b.first].at) > span {
+		b.first++
+	}
+	if n := len(b.arrivals) - b.first; n > b.most {
+		b.most, b.mostTold = n, 0
+		for _, one := range b.arrivals[b.first:] {
+			if told := b.told[one.dispatcher]; !told.IsZero() && one.at.After(told) {
+				b.mostTold++
+			}
+		}
+	}
+	b.fallen = float64(b.most) > b.limit
+	return b.fallen
+}
+
+// coldCase: a writer of a slower kind dies under load and comes back cold, beside writers of a faster kind.
 func coldCase(w *world) string {
-	const (
-		coldFrom = 0.25
-		coldFor  = 14 * time.Second
-		multiple = 2.5
-		span     = 2 * time.Second
-	)
-	dispatchers := int(envFloat("D", 8))
-	prompt := envFloat("PROMPT", 700)
-	bigRate, smallRate := envFloat("BIG", 28000), envFloat("SMALL", 7000)
-	load := envFloat("LOAD", 1.15) // share of what all readers can read together
-	bigs, smalls := int(envFloat("BIGS", 4)), int(envFloat("SMALLS", 2))
-	readers := bigs + smalls
+	dispatchers := int(envFloat("D", 3))
+	load := envFloat("LOAD", 1.15) // share of what all writers can write together
+	bigSlots, smallSlots := envFloat("BIG", 64), envFloat("SMALL", 16)
+	const readers, bigs, smalls, events = 6, 4, 2, 64
+	const pause = 50 * time.Millisecond
 	f := &fleet{states: map[string]string{}}
 	var hosts []*host
 	var kinds []string
+	add := func(kind, name string, reader bool) *host {
+		h := w.newHost(f, name, "127.0.0.1", reader, dispatchers)
+		hosts, kinds = append(hosts, h), append(kinds, kind)
+		return h
+	}
 	for i := range readers {
-		h := w.newHost(f, fmt.Sprint("s-r", i), "127.0.0.1", true, dispatchers)
-		h.rate, h.queueMost = bigRate, 64
-		kind := "prefill"
+		add("prefill", fmt.Sprint("s-r", i), true).rate = 50000
+	}
+	for i := range bigs + smalls {
+		kind, slots := "decode", bigSlots
 		if i >= bigs {
-			h.rate, kind = smallRate, "prefill-b"
-			h.queueMost = int(envFloat("QUEUE", 25))
+			kind, slots = "decode-b", smallSlots
 		}
-		hosts, kinds = append(hosts, h), append(kinds, kind)
-	}
-	for i := range 6 {
-		h := w.newHost(f, fmt.Sprint("s-w", i), "127.0.0.1", false, dispatchers)
-		h.events, h.pause = 20, 5*time.Millisecond
-		hosts, kinds = append(hosts, h), append(kinds, "decode")
+		h := add(kind, fmt.Sprint("s-w", i), false)
+		h.events, h.pause, h.queueMost, h.slots = events, pause, 25, make(chan struct{}, int(slots))
 	}
-	small := hosts[bigs] // the other hosts of its kind stay up
+	number := readers + bigs // of the writer that dies; the other one of its kind stays up
+	small := hosts[number]
 	classes := []map[string]any{class("chat", "read_like", time.Second, 4*time.Second),
 		class("post", "non_idempotent", time.Second, 4*time.Second)}
-	entryOf := func(i, n int, startedMs int64, state string) entry {
-		return entry{id: hosts[i].name, addr: hosts[i].address(n), zone: "west", kind: kinds[i], state: state, weight: 1,
+	entryOf := func(i, n int, startedMs int64) entry {
+		return entry{id: hosts[i].name, addr: hosts[i].address(n), zone: "west", kind: kinds[i], state: "SERVING", weight: 1,
 			startedMs: startedMs}
 	}
 	for n := range dispatchers {
 		var entries []entry
 		for i := range hosts {
-			entries = append(entries, entryOf(i, n, 0, "SERVING"))
+			entries = append(entries, entryOf(i, n, 0))
 		}
 		a := w.newAgent(fmt.Sprint("agent", n), "127.0.0.1", 3, entries)
 		w.agents = append(w.agents, a)
-		settings := smallSettings(dispatchers, []string{"prefill", "prefill-b", "decode"},
-			[]string{"read", "read", "write"}, []int{200000, 200000, 400000}, classes)
+		settings := smallSettings(dispatchers, []string{"prefill", "decode", "decode-b"},
+			[]string{"read", "write", "write"}, []int{200000, 150000, 150000}, classes)
 		w.newDispatcher(fmt.Sprint("n", n), "127.0.0.1", a.address,
 			map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, settings, nil)
 	}
@@ -76,38 +120,39 @@
 		d.waitReady(10 * time.Second)
 	}
 
-	// What reaches the cold host is counted from its start; its speed rises as the settings allow it to be guessed: it
-	// stays at cold_from until it is warm.
-	var mu sync.Mutex
-	var startedAt time.Time
-	type arrival struct {
-		at         time.Time
-		dispatcher int
+	// What reaches the cold host is counted from its start. Its speed stays at cold_from until it is warm.
+	secondsEach := (events * pause).Seconds() // for a stream on a warm host
+	capacity := coldFrom * smallSlots / secondsEach
+	allowed := multiple * capacity * span.Seconds()
+	b := &budget{told: make([]time.Time, dispatchers), limit: allowed + 2*math.Sqrt(allowed) + 2}
+	if allowed < 30 {
+		b.limit = allowed + 3*math.Sqrt(allowed) + 3
 	}
-	var arrivals []arrival
-	told := make([]time.Time, dispatchers)
+	var fellAt time.Time
 	small.onArrival = func(dispatcher int, id string) {
-		mu.Lock()
-		defer mu.Unlock()
-		if !startedAt.IsZero() {
-			arrivals = append(arrivals, arrival{time.Now(), dispatcher})
-			w.log("%s gets %s from n%d", small.name, id, dispatcher)
+		if b.add(dispatcher) {
+			small.crash() // for good
+			b.mu.Lock()
+			fellAt = time.Now()
+			b.mu.Unlock()
 		}
 	}
 	small.speed = func(now time.Time) float64 {
-		mu.Lock()
-		defer mu.Unlock()
-		if startedAt.IsZero() || now.Sub(startedAt) >= coldFor {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.startedAt.IsZero() || now.Sub(b.startedAt) >= coldFor {
 			return 1
 		}
 		return coldFrom
 	}
 
-	total := load * (float64(bigs)*bigRate + float64(smalls)*smallRate) / prompt
+	total := load * (bigs*bigSlots + smalls*smallSlots) / secondsEach
 	w.log("%.0f requests a second in all", total)
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
-	counts := map[int]int{}
+	var mu sync.Mutex
+	counts := map[string]int{}
+	brokenByFall := 0
 	go func() {
 		next := time.Now()
 		for n := 0; ; n++ {
@@ -121,76 +166,70 @@
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				a := ask{id: w.newID(), class: "chat", key: fmt.Sprint("k", n), deadline: 4 * time.Second,
-					extra: fmt.Sprintf("prompt_len=%.0f,prefix_len=0,max_out=60", prompt), body: chatBody(int(prompt))}
-				got := w.send(w.dispatchers[n%dispatchers].address, a, 8*time.Second)
+				a := ask{id: w.newID(), class: "post", key: fmt.Sprint("k", n), deadline: 4 * time.Second,
+					extra: "prompt_len=700,prefix_len=0,max_out=60", body: chatBody(700)}
+				got := w.send(w.dispatchers[n%dispatchers].address, a, 20*time.Second)
+				b.mu.Lock()
+				sinceFall := got.endAt.Sub(fellAt)
+				byFall := !fellAt.IsZero() && sinceFall > -10*time.Millisecond && sinceFall < 200*time.Millisecond
+				b.mu.Unlock()
 				mu.Lock()
-				counts[got.status]++
-				mu.Unlock()
+				defer mu.Unlock()
+				switch {
+				case got.err != nil:
+					counts["broken"]++
+				default:
+					counts[fmt.Sprint(got.status)]++
+				}
+				if byFall && (got.err != nil || got.status == 500) {
+					brokenByFall++
+					w.log("request %s ends with the fall: %v", a.id, got)
+				}
 			}()
 		}
 	}()
-	time.Sleep(8 * time.Second)
-	w.log("reads done: %v", readsDone(hosts[:readers]))
+	time.Sleep(10 * time.Second)
+	w.log("streams done: %v", done(hosts[readers:]))
 	if w.trouble {
 		small.crash()
 		time.Sleep(6 * time.Second)
-		mu.Lock()
-		startedAt = time.Now()
-		mu.Unlock()
+		b.mu.Lock()
+		b.startedAt = time.Now()
+		startedMs := b.startedAt.UnixMilli()
+		b.mu.Unlock()
 		small.comeBack()
 		w.log("%s is back, cold", small.name)
 		for n, a := range w.agents {
-			a.change(entryOf(bigs, n, startedAt.UnixMilli(), "SERVING"))
-			mu.Lock()
-			told[n] = time.Now()
-			mu.Unlock()
+			a.change(entryOf(number, n, startedMs))
+			b.mu.Lock()
+			b.told[n] = time.Now()
+			b.mu.Unlock()
 		}
 	}
-	time.Sleep(12 * time.Second)
-	w.log("reads done: %v, refused %d", readsDone(hosts[:readers]), small.refused)
+	time.Sleep(10 * time.Second)
+	w.log("streams done: %v, refused by %s: %d", done(hosts[readers:]), small.name, small.refused)
 	close(stop)
 	wait.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	w.log("answers by status: %v", counts)
-	if startedAt.IsZero() {
-		return ""
-	}
-	capacity := coldFrom * smallRate / prompt // requests a second
-	allowed := multiple * capacity * span.Seconds()
-	limit := allowed + 2*math.Sqrt(allowed) + 2
-	if allowed < 30 {
-		limit = allowed + 3*math.Sqrt(allowed) + 3
-	}
-	most, mostTold, first := 0, 0, 0
-	for i, last := range arrivals {
-		for last.at.Sub(arrivals[first].at) > span {
-			first++
-		}
-		if n := i - first + 1; n > most {
-			most, mostTold = n, 0
-			for _, one := range arrivals[first : i+1] {
-				if one.at.After(told[one.dispatcher]) {
-					mostTold++
-				}
-			}
-			w.log("%d requests in the 2 s up to %.3f s after the start", n, last.at.Sub(startedAt).Seconds())
-		}
-	}
-	w.log("cold capacity %.2f a second, allowed %.1f in %v, with slack %.1f; most %d, %d of them from dispatchers that "+
-		"were told of the start", capacity, allowed, span, limit, most, mostTold)
-	if float64(most) > limit && 3*mostTold > 2*most {
-		return fmt.Sprintf("%d requests (%d from dispatchers that were told) reached the cold host within %v; it falls at more "+
-			"than %.1f", most, mostTold, span, limit)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w.log("answers: %v", counts)
+	for i, one := range b.arrivals {
+		w.log("request %d at the cold host: from n%d, %.3f s after its start", i+1, one.dispatcher, one.at.Sub(b.startedAt).Seconds())
+	}
+	w.log("cold capacity %.2f a second, allowed %.1f in %v, with slack %.1f; most %d, %d of them from dispatchers that were "+
+		"told of the start", capacity, allowed, span, b.limit, b.most, b.mostTold)
+	if b.fallen && 3*b.mostTold > 2*b.most {
+		return fmt.Sprintf("the cold host fell %.1f s after its start: %d requests within %v (%d from dispatchers that were "+
+			"told), it bears %.1f; %d requests that it had taken broke off with it", fellAt.Sub(b.startedAt).Seconds(), b.most,
+			span, b.mostTold, b.limit, brokenByFall)
 	}
 	return ""
 }
 
-func readsDone(hosts []*host) (done []int) {
+func done(hosts []*host) (done []int) {
 	for _, h := range hosts {
 		h.mu.Lock()
-		done = append(done, h.readDone)
+		done = append(done, h.done)
 		h.mu.Unlock()
 	}
 	return done
--- a/review/driver-2/host.go
+++ b/review/driver-2/host.go
@@ -33,23 +33,24 @@
 	listeners []*net.TCPListener // one for each dispatcher
 	reader    bool
 
-	// A reader reads prompts one after the other at rate tokens a second, times speed(now). A writer streams events.
+	// A reader reads prompts one after the other at rate tokens a second, times speed(now). A writer streams so many
+	// events with a pause after each, divided by speed(now), for as many requests at once as it has slots.
 	rate      float64
-	queueMost int // requests that may wait or run at a reader
+	queueMost int // requests that may wait or run at a reader, or wait at a writer
 	events    int
 	pause     time.Duration
+	slots     chan struct{} // of a writer; nil: no limit
 	speed     func(time.Time) float64
 	onArrival func(dispatcher int, id string)
 
-	mu        sync.Mutex
-	waiting   int
-	freeAt    time.Time
-	conns     map[net.Conn]bool
-	down      bool
-	draining  bool // what comes is turned away
-	readDone  int
-	refused   int
-	readSince time.Time
+	mu       sync.Mutex
+	waiting  int
+	freeAt   time.Time
+	conns    map[net.Conn]bool
+	down     bool
+	draining bool // what comes is turned away
+	done     int  // requests that were read or streamed to the end
+	refused  int
 }
 
 func (w *world) newHost(f *fleet, name, ip string, reader bool, dispatchers int) *host {
@@ -180,7 +181,7 @@
 	time.Sleep(time.Until(until))
 	h.mu.Lock()
 	h.waiting = max(h.waiting-1, 0)
-	h.readDone++
+	h.done++
 	h.mu.Unlock()
 	h.fleet.mu.Lock()
 	h.fleet.states[id] = h.name
@@ -196,6 +197,27 @@
 	if !held {
 		return write(conn, noState)
 	}
+	if h.slots != nil {
+		h.mu.Lock()
+		full := h.waiting >= h.queueMost
+		if full {
+			h.refused++
+		} else {
+			h.waiting++
+		}
+		h.mu.Unlock()
+		if full {
+			h.fleet.mu.Lock() // the state still waits at its reader
+			h.fleet.states[id] = h.name
+			h.fleet.mu.Unlock()
+			return write(conn, declined)
+		}
+		h.slots <- struct{}{}
+		h.mu.Lock()
+		h.waiting = max(h.waiting-1, 0)
+		h.mu.Unlock()
+		defer func() { <-h.slots }()
+	}
 	if !write(conn, streamTop) {
 		return false
 	}
@@ -204,7 +226,10 @@
 		if !write(conn, chunk(event)) {
 			return false
 		}
-		time.Sleep(h.pause)
+		time.Sleep(time.Duration(float64(h.pause) / h.speed(time.Now())))
 	}
+	h.mu.Lock()
+	h.done++
+	h.mu.Unlock()
 	return write(conn, chunk("data: [DONE]\n\n")+"0\r\n\r\n")
 }
--- a/review/driver-2/heads.go
+++ b/review/driver-2/late.go
@@ -11,14 +11,48 @@
 	"time"
 )
 
-func init() { cases["heads"] = headsCase }
+func init() {
+	cases["heads"] = headsCase
+	cases["nested"] = nestedCase
+}
+
+// usualInterval is the time from one usual request to the next.
+const usualInterval = 50 * time.Millisecond
 
 // headsCase: bad clients send requests without an id, whose head has many fields and a long field Connection.
 func headsCase(w *world) string {
+	fields := &strings.Builder{}
+	for range 88 {
+		fields.WriteString("a:b\r\n")
+	}
+	name := "Connection"
+	if os.Getenv("PLAIN") != "" { // as many bytes in a field that means nothing
+		name = "X-Note"
+	}
+	fmt.Fprintf(fields, "%s: %s\r\n", name, strings.Repeat("c,", 7300)+"keep-alive")
+	a := ask{class: "post", key: "k", deadline: 2 * time.Second, body: `{}`}
+	text := strings.Replace(a.text("x"), "Req-Id: \r\n", fields.String(), 1)
+	return lateCase(w, 96, 768, 150, func() string { return text })
+}
+
+// nestedCase: bad clients send bodies that can't be read: an array in an array, a quarter of a million deep.
+func nestedCase(w *world) string {
+	body := `{"messages":` + strings.Repeat("[", 256<<10-len(`{"messages":`))
+	if os.Getenv("PLAIN") != "" { // as many bytes in one string
+		body = `{"messages":"` + strings.Repeat("x", 256<<10-len(`{"messages":""`)) + `"`
+	}
+	return lateCase(w, 192, 1024, 340, func() string {
+		return ask{id: w.newID(), class: "post", key: "k", deadline: 2 * time.Second, body: body}.text("x")
+	})
+}
+
+// lateCase: bad clients send the same thing again as soon as it is turned away, each on a connection of its own; usual
+// clients must get their final answers in time all the same.
+func lateCase(w *world, memoryMB, sockets, badClients int, badText func() string) string {
 	const deadline = 2 * time.Second
-	badClients := int(envFloat("BAD", 150))
+	badClients = int(envFloat("BAD", float64(badClients)))
 	dw := newDrainWorld(w)
-	dw.d.config["limits"] = map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": 768}
+	dw.d.config["limits"] = map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets}
 	dw.d.start()
 	dw.d.waitReady(10 * time.Second)
 
@@ -32,7 +66,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(50 * time.Millisecond):
+			case <-time.After(usualInterval):
 			}
 			usual.Add(1)
 			go func() {
@@ -57,15 +91,6 @@
 	}()
 	time.Sleep(2 * time.Second)
 
-	fields := &strings.Builder{}
-	for range 88 {
-		fields.WriteString("a:b\r\n")
-	}
-	name := "Connection"
-	if os.Getenv("PLAIN") != "" { // as many bytes in a field that means nothing
-		name = "X-Note"
-	}
-	fmt.Fprintf(fields, "%s: %s\r\n", name, strings.Repeat("c,", 7300)+"keep-alive")
 	var answered, other atomic.Int64
 	end := time.Now().Add(12 * time.Second)
 	var bad sync.WaitGroup
@@ -84,8 +109,7 @@
 				}
 				reader := bufio.NewReader(conn)
 				for time.Now().Before(end) {
-					a := ask{class: "post", key: "k", deadline: 2 * time.Second, body: `{}`}
-					text := strings.Replace(a.text("x"), "Req-Id: \r\n", fields.String(), 1)
+					text := badText()
 					conn.SetDeadline(time.Now().Add(20 * time.Second))
 					fmt.Fprint(conn, text)
 					got := readAnswer(reader, answer{})
