--- a/review/driver-2/late.go
+++ b/review/driver-2/late.go
@@ -41,7 +41,7 @@
 	if os.Getenv("PLAIN") != "" { // as many bytes in one string
 		body = `{"messages":"` + strings.Repeat("x", 256<<10-len(`{"messages":""`)) + `"`
 	}
-	return lateCase(w, 192, 1024, 340, func() string {
+	return lateCase(w, 96, 992, 330, func() string {
 		return ask{id: w.newID(), class: "post", key: "k", deadline: 2 * time.Second, body: body}.text("x")
 	})
 }
