Slow start is guided by what warm endpoints of the same kind do, not of the same role

Cause: measureWarmThroughput took one mean for each role. Evidence, by a line of log added on a scratch copy: the rate was 2,930 to 3,004 tokens a second at each dispatcher, from a mean of some 3,950; the large kind did 4,301 to 4,939 each, the small one 1,556 to 1,611; the cold endpoint itself had completed nothing, so it was not its own figure.

Change: the throughput is measured by kind. A kind that was never seen gets the allowance that a role that was never seen got. The test model's check of the overload rule had the same mistake (the best of the role), and is stricter now.

--- a/scheduler/rule_model_test.go
+++ b/scheduler/rule_model_test.go
@@ -66,7 +66,7 @@
 
 // checkOverload checks that an endpoint that is warming up gets no more attempts from this dispatcher than the overload
 // rule allows. In any OverloadWindow the limit is OverloadFactor times the larger of two numbers, plus a slack of two.
-// The first number is the most attempts that any endpoint of the role, warm or not, has completed in such a window,
+// The first number is the most attempts that any endpoint of the kind, warm or not, has completed in such a window,
 // times SlowStartFactor. The second is the most that this endpoint has completed in such a window since it started.
 func (sim *fleetSim) checkOverload(ep *simEndpoint) {
 	upTo := func(times []Micros, end Micros) float64 {
@@ -79,7 +79,7 @@
 		}
 	}
 	for _, other := range sim.endpoints {
-		if sim.config.Kinds[other.kind].Role == sim.config.Kinds[ep.kind].Role {
+		if other.kind == ep.kind {
 			for _, at := range other.doneAt {
 				best = max(best, upTo(other.doneAt, at))
 			}
@@ -87,7 +87,7 @@
 	}
 	n := upTo(ep.sentAt, sim.now)
 	if n > sim.config.OverloadFactor*max(sim.config.SlowStartFactor*best, own)+2 {
-		sim.t.Fatalf("endpoint %d got %v attempts while warming up; the best of its role completed %v, it completed %v",
+		sim.t.Fatalf("endpoint %d got %v attempts while warming up; the best of its kind completed %v, it completed %v",
 			ep.id, n, best, own)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,8 +33,8 @@
 	links            linkHealth
 	connectFailures  decayingMean // share of the attempts that needed a new connection and could not open one
 	estimates        estimates
-	warmThroughput   [roleCount]float64 // last observed mean tokens per second of a warm endpoint, by role
-	prefillingTokens float64            // tokens that the requests being prefilled will reserve at decode endpoints
+	warmThroughput   []float64 // last observed mean tokens per second of a warm endpoint, by kind
+	prefillingTokens float64   // tokens that the requests being prefilled will reserve at decode endpoints
 
 	scratch    scratch
 	violations int    // number of attempts that the guard blocked
@@ -54,6 +54,8 @@
 		prefixes:  newPrefixStats(),
 		links:     linkHealth{lastLateAt: map[CellID]Micros{}, handoverDelay: map[CellID]decayingMean{}},
 		estimates: newEstimates(len(config.Classes)),
+
+		warmThroughput: make([]float64, len(config.Kinds)),
 	}
 	if s.WatchOnDemand {
 		executor.WatchEndpoints()
--- a/scheduler/slow_start.go
+++ b/scheduler/slow_start.go
@@ -44,30 +44,31 @@
 	return ep.startedAt > 0 && s.now-ep.startedAt < s.WarmUp
 }
 
-// measureWarmThroughput updates the recent throughput of warm endpoints of each role. It runs each time the periodic
-// timer fires, not only while endpoints are warming up. It keeps the last value while a role has no warm endpoint. Both
-// are needed because when all endpoints of a role restart together, there is no warm one to measure. Endpoints that
-// look faulty do not count, because dead ones that are still listed would lower the mean.
+// measureWarmThroughput updates the recent throughput of warm endpoints of each kind. The kinds of one role are measured
+// separately, because one kind may do several times the work of another. It runs each time the periodic timer fires, not
+// only while endpoints are warming up. It keeps the last value while a kind has no warm endpoint. Both are needed because
+// when all endpoints of a kind restart together, there is no warm one to measure. Endpoints that look faulty do not
+// count, because dead ones that are still listed would lower the mean.
 func (s *Scheduler) measureWarmThroughput() {
-	var sum, count [roleCount]float64
+	sum, count := make([]float64, len(s.Kinds)), make([]float64, len(s.Kinds))
 	s.examined += uint64(len(s.endpoints.all))
 	for _, ep := range s.endpoints.all {
 		if ep.ready && ep.outlier.failureScore == 0 && !s.warmingUp(ep) {
 			ep.slowStart.decay(s.now)
-			sum[ep.role] += ep.slowStart.completedTokens / throughputDecayTime
-			count[ep.role]++
+			sum[ep.kind] += ep.slowStart.completedTokens / throughputDecayTime
+			count[ep.kind]++
 		}
 	}
-	for role := range count {
-		if count[role] > 0 {
-			s.warmThroughput[role] = sum[role] / count[role]
+	for kind := range count {
+		if count[kind] > 0 {
+			s.warmThroughput[kind] = sum[kind] / count[kind]
 		}
 	}
 }
 
 // slowStartAllows reports whether an endpoint may be sent one more attempt. An endpoint that is not warming up may
 // always be sent one. Each dispatcher assumes that all dispatchers send at similar rates. It therefore limits its own
-// sends by the throughput that it has observed itself, both of warm endpoints of the same role and of the endpoint that
+// sends by the throughput that it has observed itself, both of warm endpoints of the same kind and of the endpoint that
 // warms up.
 func (s *Scheduler) slowStartAllows(ep *endpoint) bool {
 	if !s.warmingUp(ep) {
@@ -89,7 +90,7 @@
 
 // slowStartRate returns the tokens per second that this dispatcher may send to an endpoint that is warming up.
 func (s *Scheduler) slowStartRate(ep *endpoint, requestTokens float64) float64 {
-	rate := s.OverloadFactor * slowStartHeadroom * s.SlowStartFactor * s.warmThroughput[ep.role]
+	rate := s.OverloadFactor * slowStartHeadroom * s.SlowStartFactor * s.warmThroughput[ep.kind]
 	// A single completed request must not count, because each dispatcher that saw one would overestimate the rate.
 	if ep.slowStart.completedTokens > minCompletedRequests*requestTokens {
 		rate = max(rate, s.OverloadFactor*ownThroughputShare*ep.slowStart.completedTokens/throughputDecayTime)
--- a/scheduler/slow_start_test.go
+++ b/scheduler/slow_start_test.go
@@ -12,7 +12,7 @@
 func TestAllEndpointsOfARoleWarmingUpAtOnceStillServe(t *testing.T) {
 	sim := newFleetSim(t, testConfig(Idempotent), 1)
 	sim.addEndpoints(2, prefillKind, decodeKind)
-	sim.scheduler.warmThroughput[Prefill] = 20000
+	sim.scheduler.warmThroughput[prefillKind] = 20000
 	before := slices.Repeat([]Micros{sim.now}, 16) // attempts that the endpoints completed while warm
 	sim.updateEndpoints(&simEndpoint{id: 1, startedAt: sim.now, doneAt: before},
 		&simEndpoint{id: 2, startedAt: sim.now, doneAt: before})
@@ -59,6 +59,80 @@
 	}
 }
 
+// limitedEndpoints is a fleet in which the endpoints of one kind can decode only a few requests at once while warm.
+type limitedEndpoints struct {
+	sim         *fleetSim
+	limitedKind KindID
+	maxStreams  int
+	open        []*simRequest
+}
+
+// run sends a request every 20 ms for a time. An answer takes a second.
+func (fleet *limitedEndpoints) run(span Micros) {
+	const gap = 20 * ms
+	for range span / gap {
+		fleet.sim.advance(gap)
+		id := RequestID(len(fleet.sim.arrivals) + 1)
+		fleet.open = append(fleet.open, fleet.sim.arrive(id, 0, 2000, 6*sec))
+		for _, req := range fleet.open {
+			for att := req.inFlight(); att != nil && fleet.step(req, att); att = req.inFlight() {
+			}
+		}
+		fleet.open = slices.DeleteFunc(fleet.open, func(req *simRequest) bool { return req.settled() })
+	}
+}
+
+// step reports the next event of an attempt, or returns false if none is due.
+func (fleet *limitedEndpoints) step(req *simRequest, att *simAttempt) bool {
+	sim := fleet.sim
+	switch {
+	case att.endpoint.kind == prefillKind:
+		sim.endAttempt(req, PrefillDone, 0)
+	case att.started && att.sentAt < sim.now-sec:
+		sim.endAttempt(req, Completed, 0)
+	case att.started:
+		return false
+	case fleet.isFull(att.endpoint):
+		sim.endAttempt(req, NoCapacity, 0)
+	default:
+		sim.startAnswer(req)
+	}
+	return true
+}
+
+// isFull reports whether an endpoint rejects further requests. One that has restarted accepts all, so that only the
+// scheduler limits what it is sent.
+func (fleet *limitedEndpoints) isFull(ep *simEndpoint) bool {
+	if ep.kind != fleet.limitedKind || ep.startedAt > 0 {
+		return false
+	}
+	streams := 0
+	for _, req := range fleet.open {
+		if att := req.inFlight(); att != nil && att.started && att.endpoint == ep {
+			streams++
+		}
+	}
+	return streams >= fleet.maxStreams
+}
+
+// Slow start took the mean throughput of all kinds of a role for that of each kind. So an endpoint of a kind that can do
+// less was sent more than it could bear when its process had restarted, and its non-idempotent requests broke off. The
+// fleetSim checks the overload rule at each attempt.
+func TestSlowStartOfASmallKindIsNotGuidedByLargerKinds(t *testing.T) {
+	const smallKind, restarted = embedderKind, 32
+	config := testConfig(NonIdempotent)
+	config.Dispatchers = 1
+	config.Kinds = append(config.Kinds, Kind{Decode, 140000})
+	fleet := &limitedEndpoints{sim: newFleetSim(t, config, 1), limitedKind: smallKind, maxStreams: 4}
+	fleet.sim.addEndpoints(2, prefillKind, decodeKind, smallKind)
+	fleet.run(10 * sec)
+	fleet.sim.updateEndpoints(&simEndpoint{id: restarted, kind: smallKind, startedAt: fleet.sim.now})
+	fleet.run(config.WarmUp)
+	if n := len(fleet.sim.endpoints[restarted].sentAt); n < 10 {
+		t.Errorf("the restarted endpoint got %d requests while warming up, want at least 10", n)
+	}
+}
+
 // The throughput of warm endpoints must be measured before the endpoints of a role restart together, because once all
 // of them are warming up, there is no warm endpoint to measure.
 func TestWarmThroughputIsMeasuredBeforeAnyEndpointRestarts(t *testing.T) {
@@ -68,7 +142,7 @@
 		sim.complete(sim.arriveAndPrefill(RequestID(i+1), 2000))
 		sim.advance(50 * ms)
 	}
-	before := sim.scheduler.warmThroughput[Decode]
+	before := sim.scheduler.warmThroughput[decodeKind]
 	if before == 0 {
 		t.Fatal("no throughput of the warm decode endpoints was measured")
 	}
@@ -77,7 +151,7 @@
 		sim.endpoint(id).outlier.failureScore = 1
 	}
 	sim.advance(5 * sec)
-	if after := sim.scheduler.warmThroughput[Decode]; after < before {
+	if after := sim.scheduler.warmThroughput[decodeKind]; after < before {
 		t.Errorf("the measured throughput fell from %v to %v while all endpoints were dead", before, after)
 	}
 }
