Slow start gives an endpoint below its kind's mean size its share of their throughput

Change: the list's weight (share in the simulator's frames) is the size where the settings' weights are nominal or rough; live weights depend on the load and are none. Above the mean an endpoint gets no more, as sizes may be approximate.

--- a/internal/benchadapter/actions.go
+++ b/internal/benchadapter/actions.go
@@ -14,7 +14,8 @@
 	*scheduler.Scheduler
 	adapter          *adapter
 	id               uint32
-	memoryValueIndex int // index in load reports of the used share of the memory; negative: reports have no such value
+	memoryValueIndex int  // index in load reports of the used share of the memory; negative: reports have no such value
+	sizesListed      bool // the weights in endpoint lists are the endpoints' sizes
 }
 
 // appendAction appends an action of this instance. Unless this instance is the selected one, it first appends an action
--- a/internal/benchadapter/endpoint_lists.go
+++ b/internal/benchadapter/endpoint_lists.go
@@ -39,14 +39,18 @@
 	}
 	for entries := a.lists[number]; len(entries) > 0; entries = entries[entrySize:] {
 		entry := record(entries)
-		in.EndpointUpdated(a.now, scheduler.EndpointStatus{
+		status := scheduler.EndpointStatus{
 			ID:        scheduler.EndpointID(entry.uint32(entryEndpoint)),
 			Zone:      scheduler.ZoneID(entry.byte(entryZone)),
 			Kind:      scheduler.KindID(entry.byte(entryKind)),
 			Cell:      scheduler.CellID(entry.uint16(entryCell)),
 			State:     endpointStates[entry.byte(entryState)],
 			StartedAt: settings.MicrosFromNanos(entry.uint64(entryStartedAt)),
-		})
+		}
+		if in.sizesListed {
+			status.Size = entry.float(entryWeight)
+		}
+		in.EndpointUpdated(a.now, status)
 	}
 	in.EndpointUpdateEnded(a.now, scope != scopePartial)
 	return nil
--- a/internal/benchadapter/events.go
+++ b/internal/benchadapter/events.go
@@ -56,7 +56,12 @@
 	if err != nil {
 		return err
 	}
-	in := &instance{adapter: a, id: id, memoryValueIndex: slices.Index(parsed.LoadReportFields, memoryFieldName)}
+	in := &instance{
+		adapter:          a,
+		id:               id,
+		memoryValueIndex: slices.Index(parsed.LoadReportFields, memoryFieldName),
+		sizesListed:      parsed.SizesListed,
+	}
 	a.instances[id] = in
 	in.Scheduler = scheduler.New(a.now, int64(event.uint64(attachSeed)), parsed.Scheduler, in)
 	return nil
--- a/internal/benchadapter/wire.go
+++ b/internal/benchadapter/wire.go
@@ -113,6 +113,7 @@
 	entryKind      = 5
 	entryCell      = 6
 	entryState     = 8
+	entryWeight    = 9
 	entryStartedAt = 13
 )
 
--- a/internal/platform/discovery/entry.go
+++ b/internal/platform/discovery/entry.go
@@ -24,6 +24,7 @@
 	Zone, Kind string
 	Cell       scheduler.CellID
 	State      scheduler.EndpointState
+	Weight     float64          // 0 if it is not listed
 	StartedAt  scheduler.Micros // on this process's clock; 0 for a start long ago
 	start      starttimes.Start // StartedAt together with the listed timestamp
 }
@@ -70,6 +71,15 @@
 	return eventloop.Micros(millis) * eventloop.Millisecond
 }
 
+// weightOf returns the weight in an endpoint's entry, or 0 if there is no finite weight above 0.
+func weightOf(server gjson.Result) float64 {
+	weight := server.Get("weight")
+	if weight.Type != gjson.Number || weight.Num <= 0 || math.IsInf(weight.Num, 0) {
+		return 0
+	}
+	return weight.Num
+}
+
 // parseEntry decodes an entry, except for ID and start time, which depend on earlier lists. It treats an unknown state
 // as draining, because the endpoint may not accept new requests. In this case stateKnown is false.
 func parseEntry(server gjson.Result) (entry Entry, stateKnown bool, err error) {
@@ -86,11 +96,12 @@
 		state = scheduler.Draining
 	}
 	return Entry{
-		Name:  name,
-		Addr:  server.Get("addr").String(),
-		Zone:  server.Get("zone").String(),
-		Kind:  server.Get("kind").String(),
-		Cell:  scheduler.CellID(cell),
-		State: state,
+		Name:   name,
+		Addr:   server.Get("addr").String(),
+		Zone:   server.Get("zone").String(),
+		Kind:   server.Get("kind").String(),
+		Cell:   scheduler.CellID(cell),
+		State:  state,
+		Weight: weightOf(server),
 	}, stateKnown, nil
 }
--- a/internal/platform/endpoints.go
+++ b/internal/platform/endpoints.go
@@ -47,14 +47,18 @@
 		Str("kind", entry.Kind).Str("zone", entry.Zone).Uint16("cell", uint16(entry.Cell)).Int("state", int(entry.State)).
 		Int64("started_us", int64(entry.StartedAt)).Msg("endpoint updated")
 	now := d.loop.Now()
-	d.scheduler.EndpointUpdated(now, scheduler.EndpointStatus{
+	status := scheduler.EndpointStatus{
 		ID:        entry.ID,
 		Zone:      zone,
 		Kind:      kind,
 		Cell:      entry.Cell,
 		State:     entry.State,
 		StartedAt: min(entry.StartedAt, now),
-	})
+	}
+	if d.settings.SizesListed {
+		status.Size = entry.Weight
+	}
+	d.scheduler.EndpointUpdated(now, status)
 }
 
 // listedEndpoints returns all listed endpoints sorted by id, including those that accept no new requests.
--- a/internal/settings/sections.go
+++ b/internal/settings/sections.go
@@ -27,6 +27,10 @@
 	}
 )
 
+// weightsAreSizes has the meanings of the weights in endpoint lists by which these are sizes. By the others, the
+// weights are all equal or depend on the load.
+var weightsAreSizes = map[string]bool{"nominal": true, "rough": true}
+
 // Keys of lists that errors refer to.
 const (
 	classesKey = "request_classes"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	ConnectTimeout   scheduler.Micros // after which an endpoint is considered unreachable
 	StateTimeout     scheduler.Micros // after which an unused KV state must be released
 	LoadReportFields []string         // names of the values of a load report
+	SizesListed      bool             // the weights in endpoint lists are the endpoints' sizes
 }
 
 // Parse decodes settings. It ignores unknown keys. It returns an *Error for an unknown value, and ErrNotObject for text
@@ -47,6 +48,7 @@
 		Zones:            parseNames(root.Get("localities")),
 		StateTimeout:     cmp.Or(parseNanos(root, "domain.let_go_by"), defaultStateTimeout),
 		LoadReportFields: parseNames(root.Get("telemetry.fields")),
+		SizesListed:      weightsAreSizes[root.Get("weights").String()],
 	}
 	s.ConnectTimeout = s.Scheduler.ConnectTimeout
 	if err := s.parseClasses(root); err != nil {
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -192,7 +192,8 @@
 	Kind      KindID
 	Cell      CellID
 	State     EndpointState
-	StartedAt Micros // when the endpoint's process started, on the caller's clock; 0 if that time is not known
+	StartedAt Micros  // when the endpoint's process started, on the caller's clock; 0 if that time is not known
+	Size      float64 // what the endpoint can do, in proportion to others of its kind; 0 if it is not known
 }
 
 // AttemptResult is the result of an attempt that has ended.
--- a/scheduler/endpoint_list.go
+++ b/scheduler/endpoint_list.go
@@ -15,6 +15,7 @@
 	kind             KindID
 	cell             CellID
 	role             Role
+	size             float64 // in proportion to other endpoints of its kind; 0 if it is not known
 	ready            bool
 	listed           bool   // named by the list that is being received
 	unavailableSince Micros // when a list first showed the endpoint as not ready; 0 if the endpoint is ready
@@ -58,7 +59,7 @@
 		ep.processRestarted()
 	}
 	ep.zone, ep.kind, ep.cell = status.Zone, status.Kind, status.Cell
-	ep.startedAt, ep.listed = status.StartedAt, true
+	ep.startedAt, ep.size, ep.listed = status.StartedAt, status.Size, true
 	// An endpoint whose kind is not in the configuration has no known role and must get no requests.
 	ep.ready = status.State == Ready && int(status.Kind) < len(s.Kinds)
 	if ep.ready {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,8 +33,8 @@
 	links            linkHealth
 	connectFailures  decayingMean // share of the attempts that needed a new connection and could not open one
 	estimates        estimates
-	warmThroughput   []float64 // last observed mean tokens per second of a warm endpoint, by kind
-	prefillingTokens float64   // tokens that the requests being prefilled will reserve at decode endpoints
+	warmThroughput   []warmThroughput // by kind
+	prefillingTokens float64          // tokens that the requests being prefilled will reserve at decode endpoints
 
 	scratch    scratch
 	violations int    // number of attempts that the guard blocked
@@ -55,7 +55,7 @@
 		links:     linkHealth{lastLateAt: map[CellID]Micros{}, handoverDelay: map[CellID]decayingMean{}},
 		estimates: newEstimates(len(config.Classes)),
 
-		warmThroughput: make([]float64, len(config.Kinds)),
+		warmThroughput: make([]warmThroughput, len(config.Kinds)),
 	}
 	if s.WatchOnDemand {
 		executor.WatchEndpoints()
--- a/scheduler/slow_start.go
+++ b/scheduler/slow_start.go
@@ -21,6 +21,12 @@
 	throughputDecayTime = 5.0
 )
 
+// warmThroughput is the mean of the warm endpoints of one kind.
+type warmThroughput struct {
+	tokensPerSecond float64 // as last observed
+	size            float64 // see EndpointStatus.Size
+}
+
 // slowStart limits what is sent to an endpoint whose process has just started.
 type slowStart struct {
 	completedTokens  float64 // tokens of completed requests, decaying exponentially
@@ -44,28 +50,38 @@
 	return ep.startedAt > 0 && s.now-ep.startedAt < s.WarmUp
 }
 
-// measureWarmThroughput updates the recent throughput of warm endpoints of each kind. The kinds of one role are measured
-// separately, because one kind may do several times the work of another. It runs each time the periodic timer fires, not
-// only while endpoints are warming up. It keeps the last value while a kind has no warm endpoint. Both are needed because
-// when all endpoints of a kind restart together, there is no warm one to measure. Endpoints that look faulty do not
-// count, because dead ones that are still listed would lower the mean.
+// measureWarmThroughput updates the recent throughput of warm endpoints of each kind. The kinds of one role are
+// measured separately, because one kind may do several times the work of another. It runs each time the periodic timer
+// fires, not only while endpoints are warming up. It keeps the last value while a kind has no warm endpoint. Both are
+// needed because when all endpoints of a kind restart together, there is no warm one to measure. Endpoints that look
+// faulty do not count, because dead ones that are still listed would lower the mean.
 func (s *Scheduler) measureWarmThroughput() {
-	sum, count := make([]float64, len(s.Kinds)), make([]float64, len(s.Kinds))
+	sums, counts := make([]warmThroughput, len(s.Kinds)), make([]float64, len(s.Kinds))
 	s.examined += uint64(len(s.endpoints.all))
 	for _, ep := range s.endpoints.all {
 		if ep.ready && ep.outlier.failureScore == 0 && !s.warmingUp(ep) {
 			ep.slowStart.decay(s.now)
-			sum[ep.kind] += ep.slowStart.completedTokens / throughputDecayTime
-			count[ep.kind]++
+			sums[ep.kind].tokensPerSecond += ep.slowStart.completedTokens / throughputDecayTime
+			sums[ep.kind].size += ep.size
+			counts[ep.kind]++
 		}
 	}
-	for kind := range count {
-		if count[kind] > 0 {
-			s.warmThroughput[kind] = sum[kind] / count[kind]
+	for kind, count := range counts {
+		if count > 0 {
+			s.warmThroughput[kind] = warmThroughput{sums[kind].tokensPerSecond / count, sums[kind].size / count}
 		}
 	}
 }
 
+// expected returns the tokens per second that an endpoint of the kind can be expected to complete when warm, from its
+// size. An endpoint that is larger than the mean counts as one of mean size, because listed sizes may be approximate.
+func (w warmThroughput) expected(size float64) float64 {
+	if size <= 0 || size >= w.size {
+		return w.tokensPerSecond
+	}
+	return w.tokensPerSecond * size / w.size
+}
+
 // slowStartAllows reports whether an endpoint may be sent one more attempt. An endpoint that is not warming up may
 // always be sent one. Each dispatcher assumes that all dispatchers send at similar rates. It therefore limits its own
 // sends by the throughput that it has observed itself, both of warm endpoints of the same kind and of the endpoint that
@@ -90,7 +106,7 @@
 
 // slowStartRate returns the tokens per second that this dispatcher may send to an endpoint that is warming up.
 func (s *Scheduler) slowStartRate(ep *endpoint, requestTokens float64) float64 {
-	rate := s.OverloadFactor * slowStartHeadroom * s.SlowStartFactor * s.warmThroughput[ep.kind]
+	rate := s.OverloadFactor * slowStartHeadroom * s.SlowStartFactor * s.warmThroughput[ep.kind].expected(ep.size)
 	// A single completed request must not count, because each dispatcher that saw one would overestimate the rate.
 	if ep.slowStart.completedTokens > minCompletedRequests*requestTokens {
 		rate = max(rate, s.OverloadFactor*ownThroughputShare*ep.slowStart.completedTokens/throughputDecayTime)
