http1: a head that is followed by others costs its own size, not that of the limit

For each head up to Limits.HeadBytes of what followed it were copied before its end was searched, so that 1 MiB of small pipelined heads meant some 50,000 copies of 16 KB on the event loop.

Change: the end is searched in the data first, with the few bytes at the seam to what has arrived before; only the head itself is copied.

Result: TestPipelinedHeadsCostTheirOwnSize failed before (over 16 KB of memory for each head of 18 bytes), passes now. FuzzParserIsIndependentOfCuts, 8 s: no difference.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -62,26 +62,40 @@
 }
 
 // collectHead appends data to the part of the head that has arrived. Once the head is complete, it returns the text of
-// the head without the empty line at its end, and the bytes that follow the head.
+// the head without the empty line at its end, and the bytes that follow the head. It copies none of these, because they
+// may be many more heads.
 func (p *Parser) collectHead(data []byte) (text string, rest []byte, complete bool, err error) {
-	collected := len(p.partial)
 	limit := p.Limits.HeadBytes + len(headEnd)
-	taken := data[:min(len(data), max(limit-collected, 0))]
+	taken := data[:min(len(data), max(limit-len(p.partial), 0))]
+	size, complete := p.findHeadEnd(taken)
+	if complete {
+		taken = taken[:size]
+	}
 	p.partial = append(p.partial, taken...)
 	if n := min(len(p.partial), len(protocolPrefix)); p.Response && string(p.partial[:n]) != protocolPrefix[:n] {
 		// Bytes that are not HTTP may never contain the end of a head, so the error is reported without waiting for that end.
 		return "", nil, false, protocolError(ErrMalformed, "no status line but %.20q", p.partial)
 	}
-	searchStart := max(collected-len(headEnd)+1, 0)
-	at := bytes.Index(p.partial[searchStart:], headEnd)
-	if at < 0 {
-		if len(taken) < len(data) || len(p.partial) >= limit {
-			return "", nil, false, protocolError(ErrHeadTooLarge, "the head is larger than %d bytes", p.Limits.HeadBytes)
-		}
-		return "", nil, false, nil
+	if complete {
+		return string(p.partial[:len(p.partial)-len(headEnd)]), data[size:], true, nil
+	}
+	if len(taken) < len(data) || len(p.partial) >= limit {
+		return "", nil, false, protocolError(ErrHeadTooLarge, "the head is larger than %d bytes", p.Limits.HeadBytes)
 	}
-	at += searchStart
-	return string(p.partial[:at]), data[at+len(headEnd)-collected:], true, nil
+	return "", nil, false, nil
+}
+
+// findHeadEnd returns how many bytes of data belong to the head, including the empty line at its end. It reports false
+// if the head does not end in data. The end may have begun in the part of the head that has arrived before.
+func (p *Parser) findHeadEnd(data []byte) (size int, found bool) {
+	overlap := min(len(p.partial), len(headEnd)-1)
+	seam := append(make([]byte, 0, 2*len(headEnd)), p.partial[len(p.partial)-overlap:]...)
+	seam = append(seam, data[:min(len(data), len(headEnd)-1)]...)
+	if at := bytes.Index(seam, headEnd); at >= 0 {
+		return at + len(headEnd) - overlap, true
+	}
+	at := bytes.Index(data, headEnd)
+	return at + len(headEnd), at >= 0
 }
 
 func (p *Parser) parseHead(text string) (*Head, error) {
--- a/internal/http1/parser_test.go
+++ b/internal/http1/parser_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -191,3 +192,33 @@
 		})
 	}
 }
+
+// For each head, up to Limits.HeadBytes of what followed it were copied, so that many small pipelined heads cost far
+// more than their size.
+func TestPipelinedHeadsCostTheirOwnSize(t *testing.T) {
+	const heads, maxBytesEach = 10000, 1 << 10
+	data := []byte(strings.Repeat("GET / HTTP/1.1\r\n\r\n", heads))
+	p := Parser{Limits: DefaultLimits}
+	r := &headCounter{}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if err := p.Feed(data, r); err != nil || r.heads != heads {
+		t.Fatalf("%d heads, %v", r.heads, err)
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / heads; each > maxBytesEach {
+		t.Errorf("%d bytes of memory were allocated for each head", each)
+	}
+}
+
+// headCounter is a Handler that counts heads.
+type headCounter struct{ heads int }
+
+func (c *headCounter) Head(*Head) error {
+	c.heads++
+	return nil
+}
+
+func (c *headCounter) Body([]byte) error { return nil }
+
+func (c *headCounter) End() error { return nil }
