Platform: pipelined requests let other events pass, and are served in linear time

Cause: serveNext was deferred, and deferred functions run before any other event, so a whole buffer was served in one go; for each request all bytes behind it were copied twice; an overflow was rejected in one go.

Change: each pipelined request waits for a turn of the loop, as do each 32 rejections of an overflow; Parser.Parse returns what follows a request without a copy, and pipelineBuffer gives up its front in linear time.

--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -47,7 +47,9 @@
 		return nil
 	}
 	p.state = inHead
-	return p.Feed(p.TakeBuffered(), handler)
+	rest, err := p.Parse(p.TakeBuffered(), handler)
+	p.buffered = rest
+	return err
 }
 
 // Buffered returns how many bytes have arrived while paused.
@@ -60,14 +62,21 @@
 	return b
 }
 
-// Feed parses the next bytes of the connection. After an error the parser must not be used again.
+// Feed parses the next bytes of the connection, and buffers those that follow a pause. After an error the parser must
+// not be used again.
 func (p *Parser) Feed(data []byte, handler Handler) error {
+	rest, err := p.Parse(data, handler)
+	p.buffered = append(p.buffered, rest...)
+	return err
+}
+
+// Parse parses the next bytes of the connection, and returns those that follow a pause without a copy. After an error
+// the parser must not be used again.
+func (p *Parser) Parse(data []byte, handler Handler) (rest []byte, err error) {
 	for len(data) > 0 {
-		var err error
 		switch p.state {
 		case paused:
-			p.buffered = append(p.buffered, data...)
-			return nil
+			return data, nil
 		case inHead:
 			data, err = p.parseHeadBytes(data, handler)
 		case inBody, inChunk:
@@ -79,10 +88,10 @@
 			data, err = p.parseChunkLine(data, handler)
 		}
 		if err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // Close has to be called when the connection has ended. It ends a body that is delimited by the connection's end, and
--- a/internal/platform/server/connection.go
+++ b/internal/platform/server/connection.go
@@ -143,7 +143,7 @@
 	}
 	// Pipelined requests are reported only if their overflow is the reason for the close. After other reasons, such as a
 	// broken stream, they can't be answered.
-	if len(c.pipeline.buffered) > 0 && reason == PipelineOverflow {
+	if c.pipeline.buffer.size() > 0 && reason == PipelineOverflow {
 		report("", reason.String()+", with pipelined requests")
 	}
 }
--- a/internal/platform/server/harness_test.go
+++ b/internal/platform/server/harness_test.go
@@ -104,7 +104,7 @@
 		if c.pipeline.overflow != nil {
 			n += c.pipeline.overflow.bytesRead
 		} else {
-			n += len(c.pipeline.buffered)
+			n += c.pipeline.buffer.size()
 		}
 	}
 	return n
--- a/internal/platform/server/pipeline.go
+++ b/internal/platform/server/pipeline.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 
-	"plumspindle/internal/eventloop"
 	"plumspindle/internal/http1"
 )
 
@@ -20,26 +19,25 @@
 	// maxOverflowBytes bounds the bytes of one connection that are read without being buffered. A client that sends more
 	// is disconnected.
 	maxOverflowBytes = 16 << 20
+	// maxRejectionsPerTurn bounds the requests of one connection that are rejected before the loop handles the events of
+	// other connections.
+	maxRejectionsPerTurn = 32
 )
 
 // pipeline is what a client has sent after the request that is being answered.
 type pipeline struct {
-	buffered         []byte
-	receivedAt       eventloop.Micros // when the first of the buffered bytes arrived
-	overflow         *overflow        // the requests that were not buffered; nil if all were buffered
-	overflowTimerSet bool             // the timeout for the rest of the overflow's partial request is set
+	buffer           pipelineBuffer
+	overflow         *overflow // the requests that were not buffered; nil if all were buffered
+	overflowTimerSet bool      // the timeout for the rest of the overflow's partial request is set
 }
 
 // pending reports whether there may be pipelined requests that wait for their turn.
-func (p *pipeline) pending() bool { return len(p.buffered) > 0 || p.overflow != nil }
+func (p *pipeline) pending() bool { return p.buffer.size() > 0 || p.overflow != nil }
 
 // readPipelined buffers what arrives while a request is being answered, or passes it to the overflow.
 func (c *connection) readPipelined(data []byte) {
 	s, p := c.server, &c.pipeline
-	if len(p.buffered) == 0 {
-		p.receivedAt = s.loop.Now()
-	}
-	size := len(p.buffered) + len(data)
+	size := p.buffer.size() + len(data)
 	exceedsConnectionLimit := size > maxPipelinedBodies*s.limits.BodyBytes
 	exceedsTotalLimit := size > minPipelinedBytes && s.bufferedBytes+len(data) > s.limits.BufferedBytes/2
 	switch {
@@ -57,22 +55,40 @@
 }
 
 func (c *connection) bufferPipelined(data []byte) {
-	c.pipeline.buffered = append(c.pipeline.buffered, data...)
+	c.pipeline.buffer.add(c.server.loop.Now(), data)
 	c.server.bufferedBytes += len(data)
 }
 
 func (c *connection) dropPipelined() {
-	c.server.bufferedBytes -= len(c.pipeline.buffered)
-	c.pipeline.buffered = nil
+	c.server.bufferedBytes -= c.pipeline.buffer.size()
+	c.pipeline.buffer = pipelineBuffer{}
+}
+
+// servePipelined starts the first request in the buffer. It takes the buffer out of the connection meanwhile, because
+// only what follows the request counts as pipelined.
+func (c *connection) servePipelined() {
+	buffer := c.pipeline.buffer
+	c.dropPipelined()
+	c.beginRequest(buffer.receivedAt)
+	rest, err := c.parser.Parse(buffer.bytes(), c)
+	switch {
+	case err != nil:
+		c.malformed(err)
+	case c.state != closing && len(rest) > 0:
+		buffer.removeFirst(buffer.size() - len(rest))
+		buffer.receivedAt = c.server.loop.Now()
+		c.pipeline.buffer = buffer
+		c.server.bufferedBytes += buffer.size()
+	}
 }
 
 // startOverflow stops buffering. The complete requests stay in the buffer; what follows them is parsed and not kept.
 func (c *connection) startOverflow(data []byte) {
 	p := &c.pipeline
 	p.overflow = newOverflow(c.parser.Limits)
-	p.overflow.feed(p.buffered)
-	c.server.bufferedBytes -= len(p.buffered) - p.overflow.completeBytes
-	p.buffered = p.buffered[:p.overflow.completeBytes]
+	p.overflow.feed(p.buffer.bytes())
+	c.server.bufferedBytes -= p.buffer.size() - p.overflow.completeBytes
+	p.buffer.truncate(p.overflow.completeBytes)
 	p.overflow.pending = 0 // the complete requests are served from the buffer
 	p.overflow.feed(data)
 }
@@ -93,11 +109,21 @@
 	c.rejectOverflow()
 }
 
+// continueRejecting continues rejectOverflow in a later turn of the loop.
+func (c *connection) continueRejecting() {
+	c.timer.Clear()
+	c.rejectOverflow()
+}
+
 // rejectOverflow rejects the requests that were not buffered, in order. It stops while the client is slow to read the
-// responses.
+// responses, and lets the loop handle other events after some of the responses.
 func (c *connection) rejectOverflow() {
 	s, p := c.server, &c.pipeline
-	for p.overflow.pending > 0 {
+	for rejected := 0; p.overflow.pending > 0; rejected++ {
+		if rejected == maxRejectionsPerTurn {
+			c.timer.Set(s.loop, 0, c.continueRejecting)
+			return
+		}
 		if c.timer.LimitUnsent(s.loop, c.conn, s.limits.UnsentBytes, s.limits.StallTimeout, c.abortStalled) {
 			return
 		}
@@ -112,8 +138,10 @@
 	switch {
 	case p.overflow.err != nil:
 		c.malformed(p.overflow.err)
+	case p.overflow.partial() && c.conn.Unsent() > 0:
+		c.timer.LimitUnsent(s.loop, c.conn, s.limits.UnsentBytes, s.limits.StallTimeout, c.abortStalled)
 	case p.overflow.partial():
-		if c.conn.Unsent() == 0 && !p.overflowTimerSet {
+		if !p.overflowTimerSet {
 			p.overflowTimerSet = true
 			c.timer.Set(s.loop, s.limits.RequestTimeout, c.requestTimedOut)
 		}
--- a/internal/platform/server/pipeline_test.go
+++ b/internal/platform/server/pipeline_test.go
@@ -67,7 +67,7 @@
 	})
 	loop.Do(func() {
 		for c := range s.connections {
-			if c.pipeline.overflow == nil && len(c.pipeline.buffered) >= size {
+			if c.pipeline.overflow == nil && c.pipeline.buffer.size() >= size {
 				buffered++
 			}
 		}
--- a/internal/platform/server/receive.go
+++ b/internal/platform/server/receive.go
@@ -28,16 +28,11 @@
 
 // feed parses the next bytes of the request that is being read.
 func (c *connection) feed(data []byte) {
-	if err := c.parser.Feed(data, c); err != nil {
-		c.malformed(err)
-		return
-	}
-	rest := c.parser.TakeBuffered()
+	rest, err := c.parser.Parse(data, c)
 	switch {
-	case len(rest) == 0 || c.state == closing:
-	case c.pipeline.overflow != nil: // the rest was buffered before the overflow began, so it is buffered again
-		c.bufferPipelined(rest)
-	default:
+	case err != nil:
+		c.malformed(err)
+	case c.state != closing && len(rest) > 0:
 		c.readPipelined(rest)
 	}
 }
@@ -159,18 +154,17 @@
 }
 
 // serveNext continues after a response. It serves the buffered pipelined requests first, then rejects the overflow, and
-// then makes the connection idle.
+// then makes the connection idle. Between two pipelined requests it lets the loop handle the events of other
+// connections.
 func (c *connection) serveNext() {
 	if c.state == closing {
 		return
 	}
 	c.response = nil
-	_ = c.parser.Resume(c) // returns no error, because TakeBuffered has emptied the parser's buffer
-	if len(c.pipeline.buffered) > 0 {
-		data := c.pipeline.buffered
-		c.dropPipelined()
-		c.beginRequest(c.pipeline.receivedAt)
-		c.feed(data)
+	_ = c.parser.Resume(c) // returns no error, because nothing is buffered in the parser
+	if c.pipeline.buffer.size() > 0 {
+		c.state = answering
+		c.timer.Set(c.server.loop, 0, c.servePipelined)
 		return
 	}
 	if c.pipeline.overflow != nil {
