Platform: pipelined requests wait until their client has read the answers before

Nothing bounded the answers that pile up for a client that pipelines probes or rejected requests and reads nothing; only streams and overflows were bounded.

Change: above that limit a connection is in a new state, lagging, in which no request is served until all has been sent or the stall timeout resets it.

Result: TestPipelinedRequestsWaitForAClientThatDoesNotRead failed before, passes now.

--- a/internal/platform/server/connection.go
+++ b/internal/platform/server/connection.go
@@ -17,6 +17,7 @@
 	reading                                  // part of a request has arrived
 	answering                                // a request was read, and its response is not complete
 	throttled                                // a request was rejected, and none is served for throttleDelay
+	lagging                                  // requests were answered, and none is served until the answers were sent
 	rejectingOverflow                        // pipelined requests that were not buffered are being rejected
 	closing                                  // the connection is being closed, and what arrives is ignored
 )
@@ -167,7 +168,7 @@
 func (c *connection) Data(data []byte) {
 	switch c.state {
 	case closing:
-	case answering, throttled:
+	case answering, throttled, lagging:
 		c.readPipelined(data)
 	case rejectingOverflow:
 		c.readOverflow(data)
@@ -187,6 +188,10 @@
 		c.rejectOverflow()
 		return
 	}
+	if c.state == lagging {
+		c.serveNext()
+		return
+	}
 	if c.response == nil || c.state != answering {
 		return
 	}
--- a/internal/platform/server/pipeline_cost_test.go
+++ b/internal/platform/server/pipeline_cost_test.go
@@ -1,10 +1,12 @@
 package server
 
 import (
+	"errors"
 	"io"
 	"net"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 
 	"plumspindle/internal/sockets"
@@ -32,6 +34,24 @@
 	})
 }
 
+// dialWithSmallBuffer opens a connection that takes few bytes until they are read.
+func dialWithSmallBuffer(t *testing.T, address string) net.Conn {
+	t.Helper()
+	const receiveBuffer = 4 << 10
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(descriptor uintptr) {
+			err = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, controlErr)
+	}}
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 // mostPerTurn returns by how much a count grows at most from one event that is posted to the loop to the next, until it
 // has reached a limit. The first event is posted behind the function begin.
 func mostPerTurn(loop *sockets.Loop, begin func(), count func() int, limit int) (most int) {
@@ -120,3 +140,27 @@
 		t.Errorf("%d bytes of memory were allocated for each of %d pipelined requests", each, probes)
 	}
 }
+
+// The answers to pipelined requests were buffered without a bound for a client that reads none of them.
+func TestPipelinedRequestsWaitForAClientThatDoesNotRead(t *testing.T) {
+	const probes = 50000
+	handler := &silentHandler{}
+	limits := testLimits()
+	loop, s, address := serve(t, limits, handler)
+	conn := dialWithSmallBuffer(t, address)
+	first := pipelineProbes(t, conn, handler, probes)
+	waitForPipelined(t, loop, s, probes*len(probe))
+	loop.Do(first.Fail)
+	unsent, left := 0, probes*len(probe)
+	waitUntil(t, "the server to stop serving", func() bool {
+		before := left
+		loop.Do(func() { unsent, left = s.Unsent(), s.pipelinedBytesRead() })
+		return unsent > 0 && left == before
+	})
+	if unsent > limits.UnsentBytes+len(probeResponse) {
+		t.Errorf("%d bytes are unsent, where %d may be", unsent, limits.UnsentBytes)
+	}
+	if _, err := io.CopyN(io.Discard, conn, probes*int64(len(probeResponse))); err != nil {
+		t.Errorf("once the client reads: %v", err)
+	}
+}
--- a/internal/platform/server/receive.go
+++ b/internal/platform/server/receive.go
@@ -154,13 +154,19 @@
 }
 
 // serveNext continues after a response. It serves the buffered pipelined requests first, then rejects the overflow, and
-// then makes the connection idle. Between two pipelined requests it lets the loop handle the events of other
-// connections.
+// then makes the connection idle. It waits while the client is slow to read the responses. Between two pipelined
+// requests it lets the loop handle the events of other connections.
 func (c *connection) serveNext() {
 	if c.state == closing {
 		return
 	}
 	c.response = nil
+	c.timer.Clear()
+	limits := &c.server.limits
+	if c.timer.LimitUnsent(c.server.loop, c.conn, limits.UnsentBytes, limits.StallTimeout, c.abortStalled) {
+		c.state = lagging
+		return
+	}
 	_ = c.parser.Resume(c) // returns no error, because nothing is buffered in the parser
 	if c.pipeline.buffer.size() > 0 {
 		c.state = answering
--- a/internal/platform/server/server.go
+++ b/internal/platform/server/server.go
@@ -8,6 +8,7 @@
 import (
 	"container/list"
 	"net/http"
+	"slices"
 
 	"plumspindle/internal/eventloop"
 	"plumspindle/internal/http1"
@@ -155,16 +156,14 @@
 func (s *Server) Open() int { return s.openCount }
 
 // Active returns the number of connections on which a request is being read or answered.
-func (s *Server) Active() int {
-	return s.countInState(reading) + s.countInState(answering) + s.countInState(rejectingOverflow)
-}
+func (s *Server) Active() int { return s.countInState(reading, answering, lagging, rejectingOverflow) }
 
 // Answering returns the number of connections on which a request is being answered.
 func (s *Server) Answering() int { return s.countInState(answering) }
 
-func (s *Server) countInState(state connectionState) (n int) {
+func (s *Server) countInState(states ...connectionState) (n int) {
 	for c := range s.connections {
-		if c.state == state {
+		if slices.Contains(states, c.state) {
 			n++
 		}
 	}
