Platform: the deadline of each pipelined request counts from its own arrival

Cause: what was left in the buffer once a request had been taken from it got the time of that moment as its arrival.

Keeping the first time alone would take a client that always sends ahead for one whose time is up.

--- a/internal/platform/request_test.go
+++ b/internal/platform/request_test.go
@@ -218,3 +218,23 @@
 	}
 	env.requireIdle()
 }
+
+// The deadline of the third of three pipelined requests counted from when the second was begun. The third one was
+// answered late by the time that the first had taken.
+func TestDeadlineOfEachPipelinedRequestCountsFromItsArrival(t *testing.T) {
+	env := newTestEnv(t, 256, defaultEndpointKinds...)
+	served := 0
+	serveAll(env.decodeEndpoints(), func(conn *endpointConn) {
+		if served++; served <= 2 {
+			conn.endpoint.loop.AfterFunc(800*eventloop.Millisecond, func() { serveDecode(conn) })
+		}
+	})
+	began := env.network.Now()
+	text := env.requestText("explain") + env.requestText("explain") + env.requestText("explain", "Req-Deadline", "1800m")
+	client := env.connect(text)
+	env.waitFor(10*eventloop.Second, "three answers", func() bool { return len(client.statuses) == 3 })
+	if took := client.answeredAt - began; took > 1800*eventloop.Millisecond {
+		t.Errorf("the third request was answered after %d ms, want at most 1800", took/eventloop.Millisecond)
+	}
+	env.requireIdle()
+}
--- a/internal/platform/server/pipeline.go
+++ b/internal/platform/server/pipeline.go
@@ -69,14 +69,13 @@
 func (c *connection) servePipelined() {
 	buffer := c.pipeline.buffer
 	c.dropPipelined()
-	c.beginRequest(buffer.receivedAt)
+	c.beginRequest(buffer.receivedAt())
 	rest, err := c.parser.Parse(buffer.bytes(), c)
 	switch {
 	case err != nil:
 		c.malformed(err)
 	case c.state != closing && len(rest) > 0:
 		buffer.removeFirst(buffer.size() - len(rest))
-		buffer.receivedAt = c.server.loop.Now()
 		c.pipeline.buffer = buffer
 		c.server.bufferedBytes += buffer.size()
 	}
