Chat and embeddings: pipelined requests let other events pass

Cause: as on the platform (docs/incidents/pipelined-requests.md), the next request of a connection was begun by a deferred function, which runs before any other event. Evidence: of 200 pipelined requests 200 were begun between two events.

Change: behind a pipelined request the connection waits for a turn of the loop.

--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -135,16 +135,23 @@
 func (r *Response) close() {
 	c := r.connection
 	r.markDone()
-	if r.keepAlive && !c.server.shuttingDown {
-		c.server.loop.Defer(func() {
-			if c.response == r && !c.closing {
-				c.startNextRequest()
-			}
-		})
-		return
+	switch {
+	case !r.keepAlive || c.server.shuttingDown:
+		c.response, c.closing = nil, true
+		c.closeWithin(c.server.limits.StallTimeout)
+	case c.parser.Pipelined() > 0 || c.parser.Buffered() > 0: // the loop handles other events between two requests
+		c.server.loop.AfterFunc(0, r.continueConnection)
+	default:
+		c.server.loop.Defer(r.continueConnection)
+	}
+}
+
+// continueConnection makes the connection ready for the next request after the final answer.
+func (r *Response) continueConnection() {
+	c := r.connection
+	if c.response == r && !c.closing {
+		c.startNextRequest()
 	}
-	c.response, c.closing = nil, true
-	c.closeWithin(c.server.limits.StallTimeout)
 }
 
 // disconnect ends a request whose client has disconnected, and calls OnDisconnect.
