Chat and embeddings: pipelined requests wait until their client has read the answers

Cause: as on the platform, nothing bounded the answers that pile up for a client that pipelines and reads nothing. Evidence: 1,020,904 bytes unsent for 5,000 requests in virtual time, where MaxUnsentBytes is 65,536, and no stall timeout.

Change: above MaxUnsentBytes the next request waits until all has been sent, or the stall timeout resets the connection.

Result: TestPipelinedRequestsWaitForAClientThatDoesNotRead failed before, passes now; a client that reads after five seconds gets all its answers.

--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -146,12 +146,19 @@
 	}
 }
 
-// continueConnection makes the connection ready for the next request after the final answer.
+// continueConnection makes the connection ready for the next request after the final answer. It waits while too much of
+// the answers is unsent.
 func (r *Response) continueConnection() {
 	c := r.connection
-	if c.response == r && !c.closing {
-		c.startNextRequest()
+	if c.response != r || c.closing {
+		return
+	}
+	limits := c.server.limits
+	if c.timeout.LimitUnsent(c.server.loop, c.conn, limits.MaxUnsentBytes, limits.StallTimeout, c.stalled) {
+		r.OnDrained = r.continueConnection
+		return
 	}
+	c.startNextRequest()
 }
 
 // disconnect ends a request whose client has disconnected, and calls OnDisconnect.
