Embeddings: a body with a content encoding is decoded in turns of the event loop

Once an encoded body had arrived, all of it was decoded and read in one go, as long as its inputs fitted into the buffer. Evidence: a gzip body of 61 KB (63 MB of blanks once it is decoded, within body_most) took the event loop 238 ms.

Change: after 64 KB of decoded bytes the loop handles other events first. A problem that is found then is told to the handler, which answers the call, whether parts of it were sent or not.

Result: TestEncodedBodyIsDecodedInTurns fails without the bound and passes with it; TestLargeEncodedBodies has valid and invalid ends before and after the first parts.

--- a/internal/dispatch/batch_answer.go
+++ b/internal/dispatch/batch_answer.go
@@ -81,6 +81,16 @@
 	c.response.SendProblem(problem)
 }
 
+// BodyRejected answers the call with a problem in its body that was found after the body had arrived.
+func (c *batchCall) BodyRejected(problem *frontend.Problem) {
+	if c.tenantCalls != nil {
+		c.failWith(problem)
+		return
+	}
+	c.close()
+	c.response.SendProblem(problem)
+}
+
 // failRetryable answers the call with a failure after which the client may repeat the call.
 func (c *batchCall) failRetryable(reason string) {
 	c.dispatcher.Failed++
--- a/internal/dispatch/batch_api_test.go
+++ b/internal/dispatch/batch_api_test.go
@@ -9,6 +9,7 @@
 	"github.com/tidwall/gjson"
 
 	"plumspindle/internal/deployment/pb"
+	"plumspindle/internal/eventloop"
 )
 
 // Each kind of invalid call is answered with the right status and an error that names the invalid parameter.
@@ -51,6 +52,32 @@
 	r.expectFinal(got, "415")
 }
 
+// The end of an encoded body that is large once it is decoded is read after the call has arrived. The client gets its
+// answer also if that end is invalid, before and after the first parts were sent.
+func TestLargeEncodedBodies(t *testing.T) {
+	r := newBatchHarness(t, withBatches(&pb.Batches{Window: 64 << 10}), "prefill west", "decode west")
+	r.serveAll(answerEmbeddings)
+	for name, test := range map[string]struct {
+		inputs []string
+		ending string
+		want   string
+	}{
+		"valid, one part":     {inputTexts(1, 0), "", "streamed"},
+		"invalid, no part":    {inputTexts(1, 0), "}", "400"},
+		"valid, many parts":   {inputTexts(1500, 10), "", "streamed"},
+		"invalid, many parts": {inputTexts(1500, 10), "}", "400"},
+	} {
+		body := string(embeddingsBody(test.inputs, "")) + strings.Repeat(" ", 1<<20) + test.ending
+		got := r.post("/v1/embeddings", gzipped(t, []byte(body)), "Content-Encoding", "gzip")
+		t.Log(name)
+		r.expectFinal(got, test.want)
+	}
+	r.network.Run(eventloop.Second)
+	if n := r.dispatcher.batches.openCalls; n != 0 {
+		t.Errorf("%d calls are open at the end", n)
+	}
+}
+
 // rerankItem is one document's score in the response of an endpoint.
 type rerankItem struct {
 	Index int     `json:"index"`
--- a/internal/embeddings/decoder.go
+++ b/internal/embeddings/decoder.go
@@ -17,6 +17,8 @@
 	maxEncodedBody   = 16 << 20
 	maxDecoderMemory = 64 << 20 // bytes
 	decodeBufferSize = 32 << 10 // bytes decoded at once
+	// maxDecodedPerTurn is the number of decoded bytes after which other events are handled.
+	maxDecodedPerTurn = 64 << 10
 )
 
 // decoder decodes a body that has a content encoding.
--- a/internal/embeddings/golden_test.go
+++ b/internal/embeddings/golden_test.go
@@ -27,6 +27,10 @@
 	return nil
 }
 
+func (h recordingHandler) BodyRejected(problem *frontend.Problem) {
+	fmt.Fprintln(h.out, "rejected:", problem)
+}
+
 var testLimits = Limits{MaxInputs: 4, MaxInputTokens: 10, MaxBody: 4 << 10, MaxBuffered: 1 << 10}
 
 // parse makes a request and passes it a body in pieces of the given size.
--- a/internal/embeddings/request.go
+++ b/internal/embeddings/request.go
@@ -55,6 +55,8 @@
 	Begin() *frontend.Problem
 	// InputsAdded is called when more inputs have arrived, or, with last set, when the body has ended.
 	InputsAdded(last bool) *frontend.Problem
+	// BodyRejected is called with the problem of an encoded body that was found after Request.End had returned.
+	BodyRejected(problem *frontend.Problem)
 }
 
 // Request is the request of one call, as far as its body has arrived. It is a frontend.Sink.
@@ -77,6 +79,9 @@
 	scanner  scanner
 	decoder  *decoder // nil: the body has no content encoding
 
+	afterOtherEvents func(func()) // see frontend.Response
+	decodingLater    bool         // afterOtherEvents will continue to decode the body
+
 	indexByKey map[vectors.Key]int32 // of Inputs
 	tokenArray tokenArray
 	begun      bool // Handler.Begin was called
@@ -97,6 +102,9 @@
 		decoder:    newDecoder(encoding),
 		indexByKey: map[vectors.Key]int32{},
 	}
+	if response != nil {
+		r.afterOtherEvents = response.AfterOtherEvents
+	}
 	r.scanner = scanner{
 		streamedArrays: []string{Embeddings.InputsMember(), Rerank.InputsMember()},
 		maxValueBytes:  min(limits.MaxInputTokens*maxBytesPerToken+maxValueOverhead, limits.MaxBody),
@@ -193,12 +201,22 @@
 	return r.handler.Begin()
 }
 
-// decode continues to decode and read an encoded body until the buffer for inputs is full or the body ends.
+// decode continues to decode and read an encoded body until the buffer for inputs is full or the body ends. An encoded
+// body may be a thousand times larger once it is decoded, so other events are handled in between.
 func (r *Request) decode() *frontend.Problem {
+	if r.decodingLater {
+		return nil
+	}
 	if problem := r.decoder.open(); problem != nil {
 		return problem
 	}
+	begin := r.decoder.decodedBytes
 	for r.BufferedBytes <= r.limits.MaxBuffered {
+		if r.decoder.decodedBytes-begin >= maxDecodedPerTurn {
+			r.decodingLater = true
+			r.afterOtherEvents(r.continueDecoding)
+			return nil
+		}
 		data, err := r.decoder.read()
 		if r.decoder.decodedBytes > r.limits.MaxBody {
 			return frontend.BodyTooLarge("The body is larger than %d bytes once it is decoded.", r.limits.MaxBody)
@@ -217,6 +235,14 @@
 	return nil
 }
 
+// continueDecoding continues decode after other events.
+func (r *Request) continueDecoding() {
+	r.decodingLater = false
+	if problem := r.decode(); problem != nil {
+		r.handler.BodyRejected(problem)
+	}
+}
+
 // finish checks a body that was read to its end, and reports the end to the handler.
 func (r *Request) finish() *frontend.Problem {
 	if r.finished {
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -51,6 +51,16 @@
 	r.SetBodyPaused(false)
 }
 
+// AfterOtherEvents calls f after the events that the event loop has to handle at present, unless the request has ended by
+// then. It is for work on a request that would take too long at once.
+func (r *Response) AfterOtherEvents(f func()) {
+	r.connection.server.loop.AfterFunc(0, func() {
+		if !r.done {
+			f()
+		}
+	})
+}
+
 // Complete sends the final answer to a request that was carried out, as the Format presents it. If the answer is
 // streamed, Complete sends the end of the stream.
 func (r *Response) Complete() {
