Administration: an unknown key is looked up without a search of all tenants

For each call whose key has the form of one, and anybody can send such a call, the names of all tenants were listed, sorted and searched.

Change: an index of the tenants by the ids of their keys, made anew with each change of the registry.

--- a/internal/admin/authentication.go
+++ b/internal/admin/authentication.go
@@ -103,20 +103,31 @@
 	return s.identifyTenantAdmin(token)
 }
 
+// setRegistry sets the registry, and indexes its tenants by the ids of their keys. Without the index, each call with an
+// unknown key would search all tenants.
+func (s *Server) setRegistry(registry *tenancy.Registry) {
+	s.registry, s.tenantsByKeyID = registry, map[string][]*tenancy.Tenant{}
+	for _, name := range registry.Names() {
+		t := registry.Tenants[name]
+		for _, key := range t.Keys {
+			s.tenantsByKeyID[key.ID] = append(s.tenantsByKeyID[key.ID], t)
+		}
+	}
+}
+
 func (s *Server) identifyTenantAdmin(token string) (identified caller, known bool) {
 	id, ok := tenancy.KeyID(token)
 	if !ok {
 		return caller{}, false
 	}
-	for _, name := range s.registry.Names() {
-		t := s.registry.Tenants[name]
+	for _, t := range s.tenantsByKeyID[id] {
 		if t.State != tenancy.StateActive {
 			continue
 		}
 		for _, key := range t.Keys {
 			mayAdminister := key.ID == id && slices.Contains(key.Scopes, tenancy.ScopeAdmin)
 			if mayAdminister && key.Matches(s.secret, token, s.now()) {
-				return caller{name: "key " + id, role: TenantAdmin, tenant: name}, true
+				return caller{name: "key " + id, role: TenantAdmin, tenant: t.Name}, true
 			}
 		}
 	}
--- a/internal/admin/authentication_test.go
+++ b/internal/admin/authentication_test.go
@@ -1,9 +1,14 @@
 package admin
 
 import (
+	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
+
+	"plumspindle/internal/tenancy"
+	"plumspindle/internal/virtual"
 )
 
 // ReadSecret rejects a secret that other users can read and one that is too short. The error does not contain the
@@ -38,3 +43,38 @@
 		}
 	}
 }
+
+// Each call with a key that is unknown, which anybody can send, listed and sorted the names of all tenants. The calls of
+// all other clients waited for that.
+func TestUnknownKeyIsLookedUpWithoutAllTenants(t *testing.T) {
+	const tenants, calls, maxBytes = 5000, 100, 4 << 10
+	s := &Server{loop: virtual.NewNetwork(1).NewLoop("admin"), secret: secret}
+	registry := tenancy.NewRegistry("epoch")
+	for i := range tenants {
+		if _, _, err := registry.Create(1, fmt.Sprint("tenant-", i), tenancy.Limits{}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	random := []byte(strings.Repeat("r", tenancy.KeyRandomBytes))
+	issued, err := registry.IssueKey(1, "tenant-7", 0, tenancy.KeyRequest{
+		Scopes: []tenancy.Scope{tenancy.ScopeAdmin}, Secret: secret, Random: random,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.setRegistry(registry)
+	if found, known := s.identify(issued.Text); !known || found.tenant != "tenant-7" {
+		t.Errorf("%+v, %v", found, known)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range calls {
+		if _, known := s.identify("sk-000000000000-00"); known {
+			t.Fatal("an unknown key is known")
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / calls; each > maxBytes {
+		t.Errorf("%d bytes of memory were allocated for a call with an unknown key", each)
+	}
+}
--- a/internal/admin/changes.go
+++ b/internal/admin/changes.go
@@ -62,7 +62,7 @@
 // replaceRegistry replaces the registry by a changed copy, and sends the changes to the followers.
 func (s *Server) replaceRegistry(next *tenancy.Registry) {
 	before := s.registry
-	s.registry = next
+	s.setRegistry(next)
 	s.notifyFollowers(before)
 }
 
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -49,10 +49,11 @@
 	random          io.Reader
 	log             zerolog.Logger
 
-	registry     *tenancy.Registry
-	ledger       *tenancy.UsageLedger
-	auditEntries uint64 // number of entries in the audit log
-	followers    []*connection
+	registry       *tenancy.Registry
+	tenantsByKeyID map[string][]*tenancy.Tenant // of the registry
+	ledger         *tenancy.UsageLedger
+	auditEntries   uint64 // number of entries in the audit log
+	followers      []*connection
 }
 
 // Start returns a server with the state from the records, and starts its periodic tasks on the loop.
@@ -76,6 +77,7 @@
 	if s.registry == nil {
 		s.registry = tenancy.NewRegistry(strconv.FormatInt(int64(loop.Now()), 36))
 	}
+	s.setRegistry(s.registry)
 	s.runPeriodicTasks()
 	return s, nil
 }
--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -51,8 +51,8 @@
 	r.SetBodyPaused(false)
 }
 
-// AfterOtherEvents calls f after the events that the event loop has to handle at present, unless the request has ended by
-// then. It is for work on a request that would take too long at once.
+// AfterOtherEvents calls f after the events that the event loop has to handle at present, unless the request has ended
+// by then. It is for work on a request that would take too long at once.
 func (r *Response) AfterOtherEvents(f func()) {
 	r.connection.server.loop.AfterFunc(0, func() {
 		if !r.done {
