Administration: pipelined requests let other events pass

Evidence: of 200 pipelined requests 200 were answered in one event.

Change: the parser pauses after each request, and the next one waits for a turn of the loop; above 16 KB of pipelined requests the rest stays in the socket.

--- a/internal/admin/authentication_test.go
+++ b/internal/admin/authentication_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// Each call with a key that is unknown, which anybody can send, listed and sorted the names of all tenants. The calls of
-// all other clients waited for that.
+// Each call with a key that is unknown, which anybody can send, listed and sorted the names of all tenants. The calls
+// of all other clients waited for that.
 func TestUnknownKeyIsLookedUpWithoutAllTenants(t *testing.T) {
 	const tenants, calls, maxBytes = 5000, 100, 4 << 10
 	s := &Server{loop: virtual.NewNetwork(1).NewLoop("admin"), secret: secret}
--- a/internal/admin/connection.go
+++ b/internal/admin/connection.go
@@ -74,14 +74,30 @@
 	if c.parser.Idle() {
 		c.abortAfter(requestTimeout)
 	}
+	c.checkParsed(c.parser.Feed(data, c))
+	if c.parser.Buffered() > maxHeadBytes {
+		c.conn.SetPaused(true) // leave further pipelined requests in the socket
+	}
+}
+
+// checkParsed rejects a request that can't be parsed, and closes the connection.
+func (c *connection) checkParsed(err error) {
 	var protocolErr *http1.ProtocolError
-	if err := c.parser.Feed(data, c); errors.As(err, &protocolErr) {
+	if errors.As(err, &protocolErr) && !c.closed {
 		c.closed = true
 		c.send(errorResponse(protocolErr.Status, "malformed", "", protocolErr.Reason), "Connection", "close")
 		c.conn.Close()
 	}
 }
 
+// serveNext parses the pipelined requests. The parser pauses after each one.
+func (c *connection) serveNext() {
+	if !c.closed && !c.following {
+		c.conn.SetPaused(false)
+		c.checkParsed(c.parser.Resume(c))
+	}
+}
+
 // Head is called with the head of a request.
 func (c *connection) Head(head *http1.Head) error {
 	c.head, c.body = head, nil
@@ -112,7 +128,10 @@
 	if !keepAlive {
 		c.closed = true
 		c.conn.Close()
+		return nil
 	}
+	c.parser.Pause()
+	c.server.loop.AfterFunc(0, c.serveNext) // the loop handles other events between two requests
 	return nil
 }
 
