Administration: pipelined requests wait until their client has read the answers

Cause: as on the platform, nothing bounded the answers that pile up for a client that pipelines and reads nothing; nobody has to be known to the administration for that.

Change: above 256 KB of unsent answers the next request waits until all were sent; the idle timeout bounds the wait.

--- a/internal/admin/connection.go
+++ b/internal/admin/connection.go
@@ -15,6 +15,7 @@
 	maxHeadBytes   = 16 << 10
 	maxHeadFields  = 64
 	maxBodyBytes   = 1 << 20
+	maxAnswerBytes = 256 << 10 // unsent answers of one connection; above this, its next request waits
 	idleTimeout    = 60 * eventloop.Second
 	requestTimeout = 10 * eventloop.Second // from the first byte of a request to its last
 )
@@ -36,6 +37,7 @@
 	timer     eventloop.Timer
 	closed    bool
 	following bool
+	lagging   bool // the next request waits until all answers were sent
 }
 
 // Accept returns the handler for a new connection of the listener.
@@ -47,9 +49,14 @@
 // Opened is called once the connection is open.
 func (c *connection) Opened() { c.abortAfter(idleTimeout) }
 
-// Drained is called when all data has been sent. It does nothing, as notify detects lagging followers by the amount of
-// their unsent data.
-func (c *connection) Drained() {}
+// Drained is called when all data has been sent. For followers it does nothing, as notify detects lagging followers by
+// the amount of their unsent data.
+func (c *connection) Drained() {
+	if c.lagging {
+		c.lagging = false
+		c.serveNext()
+	}
+}
 
 // Closed is called once the connection is closed.
 func (c *connection) Closed(error) {
@@ -90,9 +97,13 @@
 	}
 }
 
-// serveNext parses the pipelined requests. The parser pauses after each one.
+// serveNext parses the pipelined requests, once the answers before them were sent. The parser pauses after each one.
 func (c *connection) serveNext() {
-	if !c.closed && !c.following {
+	switch {
+	case c.closed || c.following:
+	case c.conn.Unsent() > maxAnswerBytes:
+		c.lagging = true
+	default:
 		c.conn.SetPaused(false)
 		c.checkParsed(c.parser.Resume(c))
 	}
