Chat: the arguments of a tool call are collected in linear time

For an answer that is not streamed, each delta of a tool call's arguments copied all arguments so far; an endpoint decides how long they get. Evidence: 103,775 bytes of memory were allocated for each of 20,000 deltas of ten bytes.

Change: name and arguments are collected in byte slices, like the content.

--- a/internal/chat/answer.go
+++ b/internal/chat/answer.go
@@ -35,10 +35,16 @@
 	usage     string // JSON as stated by the endpoint; empty: not stated yet
 	content   []byte // collected for Object, like the refusal and the tool calls
 	refusal   []byte
-	toolCalls []toolCall
+	toolCalls []collectedToolCall
 	scratch   []byte // buffer that is reused for chunks
 }
 
+// collectedToolCall is a tool call as far as its deltas have arrived.
+type collectedToolCall struct {
+	id              string
+	name, arguments []byte
+}
+
 // message is the message of an answer that is not streamed. Its fields are in alphabetical order.
 type message struct {
 	Content   *string    `json:"content"`
@@ -165,7 +171,11 @@
 
 // message returns the message with the collected content. The content is null if the answer only calls tools.
 func (a *Answer) message() message {
-	m := message{Role: "assistant", ToolCalls: a.toolCalls}
+	m := message{Role: "assistant"}
+	for _, call := range a.toolCalls {
+		function := toolFunction{Name: string(call.name), Arguments: string(call.arguments)}
+		m.ToolCalls = append(m.ToolCalls, toolCall{ID: call.id, Type: "function", Function: function})
+	}
 	if len(a.content) > 0 || len(a.toolCalls) == 0 {
 		content := string(a.content)
 		m.Content = &content
@@ -218,12 +228,12 @@
 		return
 	}
 	for len(a.toolCalls) <= index {
-		a.toolCalls = append(a.toolCalls, toolCall{Type: "function"})
+		a.toolCalls = append(a.toolCalls, collectedToolCall{})
 	}
 	call := &a.toolCalls[index]
 	if id := part.Get("id"); id.Exists() {
-		call.ID = id.String()
+		call.id = id.String()
 	}
-	call.Function.Name += part.Get("function.name").String()
-	call.Function.Arguments += part.Get("function.arguments").String()
+	call.name = append(call.name, part.Get("function.name").String()...)
+	call.arguments = append(call.arguments, part.Get("function.arguments").String()...)
 }
