--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -47,7 +47,9 @@
 		return nil
 	}
 	p.state = inHead
-	rest, err := p.Parse(p.TakeBuffered(), handler)
+	buffered := p.buffered
+	p.buffered = nil
+	rest, err := p.Parse(buffered, handler)
 	p.buffered = rest
 	return err
 }
@@ -55,13 +57,6 @@
 // Buffered returns how many bytes have arrived while paused.
 func (p *Parser) Buffered() int { return len(p.buffered) }
 
-// TakeBuffered returns the bytes that have arrived while paused, and removes them from the parser.
-func (p *Parser) TakeBuffered() []byte {
-	b := p.buffered
-	p.buffered = nil
-	return b
-}
-
 // Feed parses the next bytes of the connection, and buffers those that follow a pause. After an error the parser must
 // not be used again.
 func (p *Parser) Feed(data []byte, handler Handler) error {
