Platform: an overflow that begins before a pipelined request's turn does not end the process

Since a pipelined request waits for a turn of the loop, more of it may arrive before and turn the whole buffer into an overflow; the request was then taken from an empty buffer. Evidence: the new test ended the process with an index out of range.

Change: with an empty buffer the connection goes on as after any response, which rejects the overflow.

Result: TestOverflowBeginsBeforeThePipelinedRequestIsServed failed before, passes now, also with the race detector.

--- a/internal/platform/server/pipeline.go
+++ b/internal/platform/server/pipeline.go
@@ -68,6 +68,10 @@
 // only what follows the request counts as pipelined.
 func (c *connection) servePipelined() {
 	buffer := c.pipeline.buffer
+	if buffer.size() == 0 { // the overflow has begun since serveNext, and has dropped a partial request
+		c.serveNext()
+		return
+	}
 	c.dropPipelined()
 	c.beginRequest(buffer.receivedAt())
 	rest, err := c.parser.Parse(buffer.bytes(), c)
--- a/internal/platform/server/pipeline_cost_test.go
+++ b/internal/platform/server/pipeline_cost_test.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"syscall"
@@ -164,3 +166,37 @@
 		t.Errorf("once the client reads: %v", err)
 	}
 }
+
+// Between a response and its turn, the buffered part of the next request may be dropped, because the request turns out
+// to exceed the buffer. The dispatcher must not crash then.
+func TestOverflowBeginsBeforeThePipelinedRequestIsServed(t *testing.T) {
+	handler := &silentHandler{}
+	limits := testLimits()
+	limits.BufferedBytes = 64 << 10
+	loop, s, address := serve(t, limits, handler)
+	conn := dial(t, address)
+	next := requestText("next", 40<<10)
+	const begin = 20 << 10 // bytes of the next request that arrive first
+	go func() { _, _ = conn.Write([]byte(requestText("first", 100) + next[:begin])) }()
+	receive(t, "the first request", handler.handled)
+	first := <-handler.waiting
+	waitForPipelined(t, loop, s, begin)
+	loop.Do(func() {
+		loop.Post(first.Fail)
+		loop.Post(func() {
+			for c := range s.connections {
+				c.Data([]byte(next[begin:]))
+			}
+		})
+	})
+	in := bufio.NewReader(conn)
+	for _, want := range []int{http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		response, err := http.ReadResponse(in, nil)
+		if err != nil || response.StatusCode != want {
+			t.Fatalf("%v, %v, want status %d", response, err, want)
+		}
+		_ = response.Body.Close()
+	}
+	loop.Do(func() { handler.rejectAll = true })
+	exchange(t, conn, http.StatusServiceUnavailable)
+}
